--- /dev/null
+++ b/ident/ident_test.go
@@ -0,0 +1,35 @@
+package ident_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/ident"
+)
+
+func ExampleParseRequest() {
+	r, err := ident.ParseRequest("00000000000000010000000000000002")
+	fmt.Println(r.Low(), err)
+	// Output: 2 <nil>
+}
+
+// Guards against two requests that share one id after a header round trip.
+func TestRequestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := ident.NewRequest(rapid.Uint64().Draw(t, "high"), rapid.Uint64().Draw(t, "low"))
+		got, err := ident.ParseRequest(want.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	})
+}
+
+// Guards against a malformed header that is taken for a valid id.
+func TestParseRequestRejectsMalformed(t *testing.T) {
+	for _, s := range []string{"", "zz", "00", "0000000000000001000000000000000g"} {
+		_, err := ident.ParseRequest(s)
+		assert.ErrorIs(t, err, ident.ErrRequest, s)
+	}
+}
