--- /dev/null
+++ b/internal/spec/error.go
@@ -0,0 +1,47 @@
+package spec
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Error is one fault of a file. Line and Column count from 1, columns in
+// characters. Text is one sentence that says what to write.
+type Error struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Column int    `json:"column"`
+	Path   string `json:"path"`
+	Text   string `json:"text"`
+}
+
+// Error returns file, line, column, path and text in the form that editors
+// recognize.
+func (e Error) Error() string {
+	if e.Path == "" {
+		return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Text)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s: %s", e.File, e.Line, e.Column, e.Path, e.Text)
+}
+
+// Errors lists all faults of a file in the order of their positions.
+type Errors []Error
+
+// Error returns one line for each fault.
+func (l Errors) Error() string {
+	lines := make([]string, len(l))
+	for i, e := range l {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (l Errors) sort() {
+	sort.SliceStable(l, func(i, j int) bool {
+		if l[i].Line != l[j].Line {
+			return l[i].Line < l[j].Line
+		}
+		return l[i].Column < l[j].Column
+	})
+}
