--- a/internal/spec/spec_test.go
+++ b/internal/spec/spec_test.go
@@ -285,3 +285,16 @@
 		assert.Assert(t, e.Text != "")
 	}
 }
+
+// Guards against a nesting check that counts brackets of strings, comments or
+// neighbours and so rejects a large but flat manifest.
+func TestNestingCountsOnlyOpenBrackets(t *testing.T) {
+	domains := strings.Repeat(`{"name": "a", "region": "r"},`, 60)
+	noise := strings.Repeat("[", 40)
+	body := `{"name": "\"` + noise + `", /* ` + noise + ` */ "services": [], // ` + noise + "\n" + `"domains": [` + domains + `]}`
+	_, err := spec.ParseManifest("m", []byte(body))
+	for _, e := range faults(t, err) {
+		assert.Assert(t, !strings.Contains(e.Text, "levels"), "%v", e)
+	}
+	assert.Equal(t, len(faults(t, err)), 60)
+}
