--- /dev/null
+++ b/fence/keys_test.go
@@ -0,0 +1,110 @@
+package fence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/fence"
+	"github.com/cicadahall/cicadahall/ident"
+)
+
+const keyTime = fence.Longest + fence.ClockBound
+
+// Guards against a key that runs twice over restarts and changes of home: all
+// members learn of each change at once, and any member may be asked. A later
+// run is allowed only after the key's time since the last run.
+func TestKeysRunOnce(t *testing.T) {
+	nodes := []ident.Node{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		// The first starts are long ago, so that the keys are known.
+		now := epoch.Add(-2 * keyTime)
+		members := nodes
+		tables := map[ident.Node]*fence.Keys[string]{}
+		boot := func(n ident.Node) {
+			tables[n] = fence.NewKeys(fence.KeyOptions[string]{Self: n, Entries: 2, Bytes: 1}, members, now)
+		}
+		for _, n := range nodes {
+			boot(n)
+		}
+		now = epoch
+		ended := map[string]time.Time{}
+		node := rapid.SampledFrom(nodes)
+		key := rapid.SampledFrom([]string{"k1", "k2", "k3"})
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(*rapid.T) {
+				k := key.Draw(t, "key")
+				n, _ := fence.Home(k, members)
+				if rapid.IntRange(0, 3).Draw(t, "astray") == 0 {
+					n = node.Draw(t, "node")
+				}
+				if tables[n].Begin(k, now).Kind != fence.KeyRun {
+					return
+				}
+				if last, ok := ended[k]; ok {
+					assert.Assert(t, now.After(last.Add(keyTime)), "key %s ran again at %s", k, n)
+				}
+				now = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "run")) * time.Second)
+				if rapid.IntRange(0, 3).Draw(t, "refuse") == 0 {
+					tables[n].Finish(k, fence.Answer[string]{State: fence.Refused}, now)
+					return
+				}
+				tables[n].Finish(k, ran("x"), now)
+				ended[k] = now
+			},
+			"restart": func(*rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "whether") == 0 {
+					boot(node.Draw(t, "node"))
+				}
+			},
+			"members": func(*rapid.T) {
+				n := rapid.IntRange(1, 3).Draw(t, "count")
+				members = rapid.Permutation(nodes).Draw(t, "members")[:n]
+				for _, m := range nodes {
+					tables[m].Members(members, now)
+				}
+			},
+			"time": func(*rapid.T) {
+				now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 30, 30, 300}).Draw(t, "step")) * time.Second)
+			},
+		})
+	})
+}
+
+// Guards against a stored answer that isn't returned, against a retry of a
+// refused key that is refused for good, and against guesses after a restart.
+func TestKeysScenario(t *testing.T) {
+	k := fence.NewKeys(fence.KeyOptions[string]{Self: "a"}, []ident.Node{"a"}, epoch)
+	assert.Equal(t, k.Begin("order", epoch.Add(keyTime)).Kind, fence.KeyUnknown)
+	now := epoch.Add(keyTime + 1)
+	assert.Equal(t, k.Begin("order", now).Kind, fence.KeyRun)
+	assert.Equal(t, k.Begin("order", now).Kind, fence.KeyRunning)
+	assert.Assert(t, k.Finish("order", fence.Answer[string]{State: fence.Refused}, now))
+	assert.Equal(t, k.Begin("order", now).Kind, fence.KeyRun)
+	assert.Assert(t, k.Finish("order", ran("booked"), now))
+	v := k.Begin("order", now.Add(keyTime))
+	assert.Assert(t, v.Kind == fence.KeyFinished && v.Stored && v.Answer.Value == "booked")
+	assert.Equal(t, k.Begin("order", now.Add(keyTime+1)).Kind, fence.KeyRun)
+}
+
+// Guards against a home that moves keys of members that stayed, and against a
+// member that gets far more than its share of keys.
+func TestHomeMovesFewKeys(t *testing.T) {
+	members := []ident.Node{"a", "b", "c", "d", "e"}
+	count := map[ident.Node]int{}
+	for i := range 5000 {
+		key := fmt.Sprintf("key-%d", i)
+		before, _ := fence.Home(key, members)
+		after, _ := fence.Home(key, members[:4])
+		count[before]++
+		assert.Assert(t, before == after || before == "e")
+	}
+	for _, m := range members {
+		assert.Assert(t, count[m] > 800 && count[m] < 1200, "%s: %d", m, count[m])
+	}
+	_, ok := fence.Home("key", nil)
+	assert.Assert(t, !ok)
+}
