Add event: numbered events, hybrid logical clock, ring, time line

The catalogue table in event/catalogue.go is the only definition of names, levels and fields; docs/events.md is written from it and a test compares both. Timestamps of other nodes that are further ahead than the bound are ignored, so that one wrong clock doesn't move all clocks.

Unix-time sorting alone was ruled out: with clocks that differ by up to 500 ms an effect would sort before its cause.

--- /dev/null
+++ b/event/code.go
@@ -0,0 +1,125 @@
+package event
+
+import "slices"
+
+// Code numbers a kind of event. Numbers are never reused: operators search
+// for them in old logs. Each part has a block of 100.
+type Code uint32
+
+// Node: 100 to 199.
+const (
+	NodeStarted Code = 100 + iota
+	NodeReady
+	NodeDraining
+	NodeStopped
+)
+
+// Supervisor: 200 to 299.
+const (
+	ChildStarted Code = 200 + iota
+	ChildRestarted
+	ChildGaveUp
+)
+
+// Membership: 300 to 399.
+const (
+	MemberJoined Code = 300 + iota
+	MemberSuspect
+	MemberAlive
+	MemberUnreachable
+	MemberLeaving
+	MemberLeft
+	SelfDoubtBegin
+	SelfDoubtEnd
+)
+
+// Upstream and admission: 400 to 499.
+const (
+	UpstreamAnnounced Code = 400 + iota
+	UpstreamDrained
+	UpstreamWithdrawn
+	UpstreamCold
+	UpstreamWarm
+	UpstreamFailing
+	LimitChanged
+)
+
+// Requests: 500 to 599.
+const (
+	RequestRefused Code = 500 + iota
+	RequestUnknown
+	RequestResolved
+	ConnectionSilent
+)
+
+// Configuration: 600 to 699.
+const (
+	ManifestPublished Code = 600 + iota
+	ManifestAdopted
+	ManifestRejected
+)
+
+// Platform: 700 to 799.
+const (
+	StoreDown Code = 700 + iota
+	StoreUp
+)
+
+// Failure domains: 800 to 899.
+const (
+	DomainOut Code = 800 + iota
+	DomainIn
+)
+
+// Version moves: 900 to 999.
+const (
+	MoveStarted Code = 900 + iota
+	MoveStage
+	MoveFault
+	MoveDone
+	MoveReverted
+)
+
+// Work reports: 1000 to 1099.
+const (
+	ReportWritten Code = 1000 + iota
+	ReportKept
+)
+
+// Measuring: 1100 to 1199.
+const (
+	ProbeSent Code = 1100 + iota
+	ProbeFailed
+)
+
+// Level tells how urgent an event is.
+type Level int
+
+// Levels in ascending order.
+const (
+	Debug Level = iota
+	Info
+	Warn
+	Fault
+)
+
+// levels are the names of the levels, as in the settings.
+var levels = [...]string{"debug", "info", "warn", "error"}
+
+// String returns the name of the level.
+func (l Level) String() string { return levels[l] }
+
+// ParseLevel finds a level by its name.
+func ParseLevel(text string) (Level, bool) {
+	i := slices.Index(levels[:], text)
+	return Level(max(i, 0)), i >= 0
+}
+
+// String returns the name of the code from the catalogue.
+func (c Code) String() string {
+	k, ok := Lookup(c)
+	if !ok {
+		return "unknown"
+	}
+	return k.Name
+}
--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,216 @@
+package event_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/ident"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func still() time.Time { return noon }
+
+func ExampleLog() {
+	l := event.New(event.Options{Node: "counter-1", Start: 7, Now: still, Output: event.Output(os.Stdout), Level: event.Info})
+	l.Emit(event.NodeReady, event.F(event.Elapsed, 20*time.Millisecond))
+	l.Emit(event.ProbeSent) // below the level of the output
+	records, lost := l.Since(0)
+	fmt.Println(len(records), lost)
+	// Output:
+	// time=2026-12-04T12:00:00.000000000Z logical=0 node=counter-1 start=0000000000000007 seq=1 level=info code=101 event=node-ready elapsed=20ms
+	// 2 0
+}
+
+// Guards against timestamps that do not ascend although the physical clock
+// stands still or jumps back, and against an event that sorts before its cause.
+func TestClockAscends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := event.Clock{Bound: time.Second}
+		var last event.Time
+		for range 50 {
+			now := noon.Add(time.Duration(rapid.IntRange(-500, 500).Draw(t, "now")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "observe") {
+				seen := event.Time{
+					Wall:    noon.Add(time.Duration(rapid.IntRange(-500, 3000).Draw(t, "remote")) * time.Millisecond).UnixNano(),
+					Logical: rapid.Uint32().Draw(t, "logical"),
+				}
+				err := c.Observe(seen, now)
+				far := seen.Physical().Sub(now) > time.Second
+				assert.Equal(t, err != nil, far)
+				if err == nil && last.Before(seen) {
+					last = seen
+				}
+			}
+			next := c.Now(now)
+			assert.Assert(t, last.Before(next), "%v then %v", last, next)
+			last = next
+		}
+	})
+}
+
+// Guards against one node with a wrong clock that moves all others forward.
+func TestClockIgnoresFarFuture(t *testing.T) {
+	c := event.Clock{Bound: time.Second}
+	err := c.Observe(event.Time{Wall: noon.Add(time.Hour).UnixNano()}, noon)
+	var drift event.DriftError
+	assert.Assert(t, errors.As(err, &drift))
+	assert.Equal(t, drift.Ahead, time.Hour)
+	assert.Equal(t, c.Now(noon), event.Time{Wall: noon.UnixNano()})
+}
+
+// Guards against records that the ring loses without a count, or that it
+// returns twice or out of order.
+func TestSinceCountsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		n := rapid.IntRange(0, 20).Draw(t, "n")
+		since := rapid.IntRange(0, 22).Draw(t, "since")
+		l := event.New(event.Options{Size: size, Now: still})
+		for range n {
+			l.Emit(event.NodeReady)
+		}
+		records, lost := l.Since(uint64(since))
+		after := max(0, n-since)
+		assert.Equal(t, len(records), min(after, size))
+		assert.Equal(t, int(lost), after-len(records))
+		for i, r := range records {
+			assert.Equal(t, r.Sequence, uint64(n-len(records)+i+1))
+		}
+	})
+}
+
+func anyRecord(t *rapid.T, i int) event.Record {
+	r := event.Record{
+		Time:     event.Time{Wall: noon.UnixNano() + rapid.Int64Range(0, 5).Draw(t, "wall"), Logical: rapid.Uint32Range(0, 3).Draw(t, "logical")},
+		Node:     ident.Node(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")),
+		Start:    ident.Start(rapid.Uint64().Draw(t, "start")),
+		Sequence: uint64(i),
+		Code:     rapid.SampledFrom(event.Kinds()).Draw(t, "kind").Code,
+	}
+	for _, n := range []event.Name{event.Peer, event.Error} {
+		r.Fields = append(r.Fields, event.Field{Name: n, Value: rapid.String().Draw(t, "value")})
+	}
+	return r
+}
+
+// Guards against a log line that can't be read back exactly, whatever an error
+// text contains.
+func TestLineRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := anyRecord(t, 1)
+		var b bytes.Buffer
+		assert.NilError(t, event.Output(&b)(want.Keyvals()...))
+		line := strings.TrimSuffix(b.String(), "\n")
+		assert.Assert(t, !strings.Contains(line, "\n"))
+		got, err := event.ParseLine(line)
+		assert.NilError(t, err, line)
+		assert.DeepEqual(t, got, want)
+	})
+}
+
+// Guards against output of other programs, and against cut lines, that are
+// taken for events.
+func TestParseLineRejectsOther(t *testing.T) {
+	const good = "time=2026-12-04T12:00:00.000000000Z logical=0 node=a start=0000000000000007 seq=1 level=info code=101 event=node-ready"
+	_, err := event.ParseLine(good)
+	assert.NilError(t, err)
+	for _, line := range []string{
+		"", "panic: runtime error", "level=info msg=hello", good[:40],
+		strings.Replace(good, "code=101", "code=x", 1),
+		strings.Replace(good, "seq=1", "seq=-1", 1),
+		strings.Replace(good, "2026", "year", 1),
+		strings.Replace(good, "seq=1 ", "", 1),
+		good + ` error="cut`,
+	} {
+		_, err := event.ParseLine(line)
+		assert.ErrorIs(t, err, event.ErrNoEvent, line)
+	}
+}
+
+// Guards against a time line that depends on the order of its sources, loses
+// records, or lists a record twice that two sources hold.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a, b []event.Record
+		n := rapid.IntRange(0, 20).Draw(t, "n")
+		for i := range n {
+			r := anyRecord(t, i)
+			where := rapid.IntRange(0, 2).Draw(t, "where")
+			if where != 1 {
+				a = append(a, r)
+			}
+			if where != 0 {
+				b = append(b, r)
+			}
+		}
+		got := event.Merge(a, b)
+		assert.Equal(t, len(got), n)
+		assert.DeepEqual(t, got, event.Merge(b, a))
+		for i := 1; i < n; i++ {
+			assert.Assert(t, !got[i].Time.Before(got[i-1].Time))
+		}
+	})
+}
+
+// Guards against a catalogue that lacks a code, uses a number or name twice,
+// has a number outside its part, or names a field like a key of the log line.
+func TestCatalogue(t *testing.T) {
+	want, err := os.ReadFile("../docs/events.md")
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	assert.NilError(t, event.WriteCatalogue(&b))
+	assert.Equal(t, b.String(), string(want), "run go generate ./event")
+	names := map[string]bool{}
+	last := event.Code(0)
+	for _, k := range event.Kinds() {
+		assert.Assert(t, k.Code > last, "%d", k.Code)
+		last = k.Code
+		assert.Assert(t, !names[k.Name], k.Name)
+		names[k.Name] = true
+		assert.Assert(t, strings.HasSuffix(k.Text, "."), k.Name)
+		for _, f := range k.Fields {
+			for _, key := range []string{"time", "logical", "node", "start", "seq", "level", "code", "event"} {
+				assert.Assert(t, string(f) != key, "%s: %s", k.Name, f)
+			}
+		}
+	}
+	assert.Equal(t, countCodes(t), len(event.Kinds()), "each code needs an entry in the table")
+}
+
+// countCodes counts the constants of type Code in the source.
+func countCodes(t *testing.T) int {
+	f, err := parser.ParseFile(token.NewFileSet(), "code.go", nil, 0)
+	assert.NilError(t, err)
+	count := 0
+	for _, d := range f.Decls {
+		g, ok := d.(*ast.GenDecl)
+		if !ok || g.Tok != token.CONST {
+			continue
+		}
+		first := g.Specs[0].(*ast.ValueSpec)
+		if kind, ok := first.Type.(*ast.Ident); ok && kind.Name == "Code" {
+			count += len(g.Specs)
+		}
+	}
+	return count
+}
+
+// Guards against a field that an emitting package adds without the catalogue.
+func TestCheck(t *testing.T) {
+	assert.NilError(t, event.Record{Code: event.StoreUp, Fields: []event.Field{event.F(event.Store, "table")}}.Check())
+	assert.ErrorContains(t, event.Record{Code: event.StoreUp, Fields: []event.Field{event.F(event.Move, "m")}}.Check(), "no field")
+	assert.ErrorContains(t, event.Record{Code: 99}.Check(), "not in the catalogue")
+}
--- /dev/null
+++ b/event/gen/main.go
@@ -0,0 +1,28 @@
+// Command gen writes the catalogue of events into the file that its argument
+// names.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cicadahall/cicadahall/event"
+)
+
+func main() {
+	if err := run(os.Args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, "gen:", err)
+		os.Exit(1)
+	}
+}
+
+func run(file string) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := event.WriteCatalogue(f); err != nil {
+		return err
+	}
+	return f.Close()
+}
