Add package retry: budget, plan, chain headers, hedge delay

Cause: extra runs must not multiply over 19 levels of calls, and a request that isn't idempotent is sent again only after a proof that it hasn't run. Ruled out: handing the same number of attempts to every level (3^19 runs); charging refusals as not run to the budget, because they cost no run and at 95 % load most calls see one. Attempts are split: a child gets 1+(attempts-1)/2 and the parent pays for what it handed down. Conclusion: runs per level are bounded by the attempts of the first call.

--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,270 @@
+package retry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/retry"
+)
+
+var epoch = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func plan(attempts int) *retry.Plan {
+	b := retry.NewBudget(retry.BudgetOptions{Burst: 1000})
+	return retry.New(retry.Chain{Attempts: attempts, Left: time.Second}, b, epoch)
+}
+
+// Guards against more extra runs than the ratio, floor and burst allow in any
+// interval, and against a clock that steps back and refills the budget.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := retry.BudgetOptions{Ratio: 0.25, Floor: 2, Burst: 3}
+		b := retry.NewBudget(o)
+		now, high := epoch, epoch
+		b.First(now)
+		bound := o.Burst
+		allowed := 0.0
+		t.Repeat(map[string]func(*rapid.T){
+			"first": func(*rapid.T) { b.First(now); bound += o.Ratio },
+			"allow": func(*rapid.T) {
+				if b.Allow(now) {
+					allowed++
+				}
+			},
+			"time": func(*rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(-500, 1000).Draw(t, "ms")) * time.Millisecond)
+				if now.After(high) {
+					bound += o.Floor * now.Sub(high).Seconds()
+					high = now
+				}
+			},
+			"": func(*rapid.T) {
+				assert.Assert(t, allowed <= bound+1e-6, "%v over %v", allowed, bound)
+				if bound-allowed > 3*o.Burst { // the interval restarts with a full budget
+					bound, allowed = o.Burst, 0
+				}
+			},
+		})
+	})
+}
+
+// Guards against a budget that starves a quiet entry node for good.
+func TestBudgetFloor(t *testing.T) {
+	b := retry.NewBudget(retry.BudgetOptions{Burst: 1, Floor: 1})
+	assert.Assert(t, b.Allow(epoch))
+	assert.Assert(t, !b.Allow(epoch))
+	assert.Assert(t, b.Allow(epoch.Add(time.Second)))
+}
+
+// Guards against a clock that steps back and takes tokens with it.
+func TestBudgetClockStepsBack(t *testing.T) {
+	b := retry.NewBudget(retry.BudgetOptions{Burst: 1, Floor: 1})
+	b.First(epoch)
+	assert.Assert(t, b.Allow(epoch.Add(-time.Second)))
+	assert.Assert(t, !b.Allow(epoch))
+}
+
+// chainRuns counts the runs at each level when choose decides on the outcome
+// of every copy. Each run calls the next level once.
+func chainRuns(c retry.Chain, runs []int, choose func(depth int) (retry.Outcome, retry.Reason)) {
+	b := retry.NewBudget(retry.BudgetOptions{Burst: 1e9})
+	p := retry.New(c, b, epoch)
+	for copies := 1; copies > 0; {
+		o, r := choose(c.Depth)
+		if o != retry.Pending {
+			copies--
+		}
+		if o == retry.Ran || o == retry.Unknown {
+			runs[c.Depth]++
+			if below, ok := p.Child(epoch); ok {
+				chainRuns(below, runs, choose)
+			}
+		}
+		switch a := p.Next(o, r, true, epoch); a.Kind {
+		case retry.Elsewhere, retry.Hedge:
+			copies++
+		case retry.Deliver, retry.GiveUp:
+			return
+		}
+	}
+}
+
+// Guards against retries that multiply down a call chain: with every outcome
+// unknown at all 20 levels, no level runs more often than the attempts say.
+func TestChainWorstCase(t *testing.T) {
+	for attempts := 1; attempts <= retry.MaxAttempts; attempts++ {
+		runs := make([]int, retry.MaxDepth+1)
+		chainRuns(retry.Chain{Attempts: attempts, Left: time.Second}, runs, func(int) (retry.Outcome, retry.Reason) {
+			return retry.Unknown, retry.Broken
+		})
+		for d, n := range runs {
+			assert.Assert(t, n >= 1 && n <= attempts, "%d attempts: %d runs at depth %d", attempts, n, d)
+		}
+	}
+}
+
+// Guards against the same with refusals, hedges and answers mixed in any way.
+func TestChainBound(t *testing.T) {
+	outcomes := rapid.SampledFrom([]retry.Outcome{retry.Unknown, retry.Ran, retry.NotRun, retry.Pending, retry.Unknown})
+	rapid.Check(t, func(t *rapid.T) {
+		attempts := rapid.IntRange(1, retry.MaxAttempts).Draw(t, "attempts")
+		runs := make([]int, retry.MaxDepth+1)
+		left := 300 // Pending may repeat without end
+		chainRuns(retry.Chain{Attempts: attempts, Left: time.Second}, runs, func(int) (retry.Outcome, retry.Reason) {
+			if left--; left < 0 {
+				return retry.Unknown, retry.Broken
+			}
+			return outcomes.Draw(t, "outcome"), retry.Broken
+		})
+		for d, n := range runs {
+			assert.Assert(t, n <= attempts, "%d attempts: %d runs at depth %d", attempts, n, d)
+		}
+	})
+}
+
+// Guards against a child with more attempts or time than its parent.
+func TestChildNeverGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := retry.Chain{Attempts: rapid.IntRange(1, retry.MaxAttempts).Draw(t, "attempts"), Left: time.Second}
+		b := retry.NewBudget(retry.BudgetOptions{})
+		now := epoch
+		for {
+			p := retry.New(c, b, now)
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			below, ok := p.Child(now)
+			if !ok {
+				assert.Assert(t, c.Depth == retry.MaxDepth || !now.Before(p.Deadline))
+				return
+			}
+			assert.Assert(t, below.Attempts >= 1 && below.Attempts <= c.Attempts && below.Left <= c.Left)
+			assert.Equal(t, below.Depth, c.Depth+1)
+			c = below
+		}
+	})
+}
+
+// Guards against a non-idempotent request that is sent again without a proof,
+// against a false report of not run, and against endless work on one request:
+// any sequence of outcomes.
+func TestPlanOutcomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := plan(rapid.IntRange(1, retry.MaxAttempts).Draw(t, "attempts"))
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		now := epoch
+		copies, doubt := 1, 0
+		for range 500 {
+			o := rapid.SampledFrom([]retry.Outcome{retry.Unknown, retry.NotRun, retry.Pending}).Draw(t, "outcome")
+			r := rapid.SampledFrom([]retry.Reason{retry.Silent, retry.Broken, retry.Full, retry.Start, retry.Lost}).Draw(t, "reason")
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			a := p.Next(o, r, idempotent, now)
+			settled := o == retry.NotRun || (o == retry.Unknown && a.Kind != retry.Resolve)
+			if settled {
+				copies--
+			}
+			if o == retry.Unknown && settled {
+				doubt++
+			}
+			switch a.Kind {
+			case retry.Elsewhere, retry.Hedge:
+				copies++
+				assert.Assert(t, idempotent || (o == retry.NotRun && a.Kind == retry.Elsewhere))
+				assert.Assert(t, now.Before(p.Deadline))
+			case retry.GiveUp:
+				notRun := a.Outcome == retry.NotRun
+				assert.Assert(t, !notRun || (doubt == 0 && copies == 0 && o == retry.NotRun))
+				assert.Assert(t, notRun || doubt > 0 || copies > 0, "a proved refusal told as unknown")
+				return
+			case retry.Wait:
+				assert.Assert(t, copies > 0, "waits for nothing")
+			}
+		}
+		t.Fatal("no end after 500 outcomes")
+	})
+}
+
+// Guards against tries beyond three refusals and the one that may queue.
+func TestPlanRefusals(t *testing.T) {
+	p := plan(1)
+	for i := range 3 {
+		a := p.Next(retry.NotRun, retry.Full, false, epoch)
+		assert.DeepEqual(t, a, retry.Action{Kind: retry.Elsewhere, Last: i == 2})
+	}
+	a := p.Next(retry.NotRun, retry.Full, false, epoch)
+	assert.DeepEqual(t, a, retry.Action{Kind: retry.GiveUp, Outcome: retry.NotRun})
+	a = plan(1).Next(retry.NotRun, retry.Size, false, epoch)
+	assert.DeepEqual(t, a, retry.Action{Kind: retry.GiveUp, Outcome: retry.NotRun})
+}
+
+// Guards against resolves in a tight loop, and against a resolve where the
+// outcome can't become known.
+func TestPlanResolvePauses(t *testing.T) {
+	p := plan(3)
+	want := time.Duration(0)
+	for range 4 {
+		a := p.Next(retry.Unknown, retry.Silent, false, epoch)
+		assert.DeepEqual(t, a, retry.Action{Kind: retry.Resolve, Pause: want})
+		want = max(20*time.Millisecond, 2*want)
+	}
+	for _, r := range []retry.Reason{retry.Lost, retry.Broken, retry.Start, retry.Gone, retry.Key} {
+		a := plan(3).Next(retry.Unknown, r, false, epoch)
+		assert.DeepEqual(t, a, retry.Action{Kind: retry.GiveUp, Outcome: retry.Unknown})
+	}
+}
+
+// Guards against a hedge outside the budget, and a second hedge of one call.
+func TestPlanHedge(t *testing.T) {
+	p := plan(5)
+	assert.Equal(t, p.Next(retry.Pending, retry.None, true, epoch).Kind, retry.Hedge)
+	assert.Equal(t, p.Next(retry.Pending, retry.None, true, epoch).Kind, retry.Wait)
+	a := p.Next(retry.NotRun, retry.Full, true, p.Deadline)
+	assert.DeepEqual(t, a, retry.Action{Kind: retry.GiveUp, Outcome: retry.Unknown}) // the other copy may run
+	empty := retry.NewBudget(retry.BudgetOptions{Burst: 1e-9})
+	q := retry.New(retry.Chain{Attempts: 5, Left: time.Second}, empty, epoch)
+	assert.Equal(t, q.Next(retry.Pending, retry.None, true, epoch).Kind, retry.Wait)
+}
+
+// Guards against a chain field that changes on its way, and against text out
+// of bounds that is taken for a value.
+func TestChainHeaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := retry.Chain{
+			Attempts: rapid.IntRange(1, retry.MaxAttempts).Draw(t, "attempts"),
+			Depth:    rapid.IntRange(0, retry.MaxDepth).Draw(t, "depth"),
+			Left:     time.Duration(rapid.Int64Range(1, int64(retry.MaxTimeout)).Draw(t, "left")),
+		}
+		h := http.Header{}
+		want.Set(h)
+		got, err := retry.ParseChain(h)
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	})
+	bad := map[string][]string{
+		retry.AttemptsHeader: {"0", "9", "-1", "+3", "03", "3 ", "", "99999999999999999999"},
+		retry.DepthHeader:    {"-1", "20", "1.0", "0x1"},
+		retry.TimeoutHeader:  {"0s", "-1s", "5m1ns", "10", "1h", "", "0.00000000000000000000000000000001h"},
+	}
+	for name, values := range bad {
+		for _, v := range values {
+			_, err := retry.ParseChain(http.Header{name: {v}})
+			assert.ErrorIs(t, err, retry.ErrChain, "%s: %q", name, v)
+		}
+		_, err := retry.ParseChain(http.Header{name: {"1", "1"}})
+		assert.ErrorIs(t, err, retry.ErrChain, "%s twice", name)
+	}
+}
+
+func BenchmarkPlanNext(b *testing.B) {
+	b.ReportAllocs()
+	budget := retry.NewBudget(retry.BudgetOptions{})
+	p := *retry.New(retry.Chain{Attempts: 3, Left: time.Second}, budget, epoch)
+	for b.Loop() {
+		q := p
+		q.Next(retry.NotRun, retry.Full, false, epoch)
+		q.Next(retry.Unknown, retry.Silent, false, epoch)
+		q.Next(retry.Pending, retry.None, true, epoch)
+	}
+}
