Serve a request from any node through an upstream and back

Cause: the parts had no process around them. Ruled out: leaving cancellation to broken connections, because a silent connection that is given up would stop a request that still runs; an explicit abort is sent instead. Leaving Idempotency-Key under its canonical spelling, because net/http then resends a POST on its own.

--- /dev/null
+++ b/internal/entry/place.go
@@ -0,0 +1,305 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cicadahall/cicadahall/choose"
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/fence"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+	"github.com/cicadahall/cicadahall/retry"
+)
+
+// maxCopies bounds the copies of one request: the first one, three more after
+// refusals, one hedge and what the attempts allow after unknown outcomes.
+const maxCopies = 16
+
+// copyEnd is the end of one copy of a request.
+type copyEnd struct {
+	node   ident.Node
+	answer *wirepb.CallResponse
+	took   time.Duration
+}
+
+// placement is one request on its way to an upstream.
+type placement struct {
+	e       *Entry
+	q       *request
+	id      ident.Request
+	version ident.Version
+	plan    *retry.Plan
+	ends    chan copyEnd
+	tried   []ident.Node
+	copies  int
+	flying  int
+	// last is the latest end of a copy, whose reason the caller is told.
+	last copyEnd
+	// doubt is set once a copy has ended with an unknown outcome.
+	doubt bool
+}
+
+// place runs a request and returns what is known about it in the end.
+func (e *Entry) place(ctx context.Context, id ident.Request, q *request) *wirepb.CallResponse {
+	now := time.Now()
+	version := q.version
+	if version == "" {
+		version = e.o.Cohort(q.service, id.Low(), now)
+	}
+	p := &placement{
+		e:       e,
+		q:       q,
+		id:      id,
+		version: version,
+		ends:    make(chan copyEnd, maxCopies),
+	}
+	e.mu.Lock()
+	p.plan = retry.New(q.chain, e.budget, now)
+	e.mu.Unlock()
+	copies, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := p.run(copies)
+	if a.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN {
+		e.o.Emit(event.RequestUnknown,
+			event.F(event.Request, id),
+			event.F(event.Service, q.service),
+			event.F(event.Route, q.route),
+			event.F(event.Caller, q.caller),
+			event.F(event.Peer, p.last.node),
+			event.F(event.Reason, call.ReasonOf(a.GetReason())))
+	}
+	return a
+}
+
+func (p *placement) run(ctx context.Context) *wirepb.CallResponse {
+	if !p.send(ctx, p.q.key != "") {
+		return p.giveUp(retry.NotRun)
+	}
+	hedge := time.NewTimer(p.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		var action retry.Action
+		select {
+		case end := <-p.ends:
+			action = p.ended(end)
+		case now := <-hedge.C:
+			action = p.next(retry.Pending, retry.None, now)
+		case <-ctx.Done():
+			return p.giveUp(retry.Unknown)
+		}
+		if a := p.act(ctx, action); a != nil {
+			return a
+		}
+	}
+}
+
+// act follows the plan and returns the answer once there is one.
+func (p *placement) act(ctx context.Context, a retry.Action) *wirepb.CallResponse {
+	switch a.Kind {
+	case retry.Deliver:
+		return p.last.answer
+	case retry.Elsewhere:
+		if p.send(ctx, a.Last) || p.flying > 0 {
+			return nil
+		}
+		return p.giveUp(p.proved())
+	case retry.Hedge:
+		p.send(ctx, false)
+		return nil
+	case retry.Wait:
+		return nil
+	default:
+		return p.giveUp(a.Outcome)
+	}
+}
+
+// proved returns what is known if no copy is left.
+func (p *placement) proved() retry.Outcome {
+	if p.doubt {
+		return retry.Unknown
+	}
+	return retry.NotRun
+}
+
+// ended learns from the end of a copy and asks the plan what follows.
+func (p *placement) ended(end copyEnd) retry.Action {
+	p.flying--
+	p.last = end
+	p.e.learn(p.q.service, end)
+	o := retry.Outcome(end.answer.GetOutcome())
+	p.doubt = p.doubt || o == retry.Unknown
+	return p.next(o, retry.Reason(end.answer.GetReason()), time.Now())
+}
+
+func (p *placement) next(o retry.Outcome, r retry.Reason, now time.Time) retry.Action {
+	p.e.mu.Lock()
+	defer p.e.mu.Unlock()
+	return p.plan.Next(o, r, p.q.mayRepeat(), now)
+}
+
+// giveUp makes the answer for a request without one.
+func (p *placement) giveUp(o retry.Outcome) *wirepb.CallResponse {
+	a := &wirepb.CallResponse{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: wirepb.Reason_REASON_LATE}
+	if o == retry.NotRun {
+		a.Outcome = wirepb.Outcome_OUTCOME_REFUSED
+		a.Reason = wirepb.Reason_REASON_NONE_LEFT
+	}
+	if p.last.answer != nil && p.last.answer.GetOutcome() == a.GetOutcome() {
+		a.Reason = p.last.answer.GetReason()
+		a.RetryNanos = p.last.answer.GetRetryNanos()
+	}
+	return a
+}
+
+// send starts one more copy on another member. It reports false if there is
+// none to choose.
+func (p *placement) send(ctx context.Context, last bool) bool {
+	now := time.Now()
+	p.e.mu.Lock()
+	defer p.e.mu.Unlock()
+	chain, ok := p.plan.Child(now)
+	if !ok || p.copies >= maxCopies {
+		return false
+	}
+	t, ok := p.target(last, now)
+	if !ok {
+		return false
+	}
+	m := p.message(t, chain, last)
+	p.copies++
+	p.flying++
+	p.tried = append(p.tried, t.Member.Node)
+	p.e.chooser.Sent(t.Member.Node, now)
+	p.e.running.Add(1)
+	go func() {
+		defer p.e.running.Done()
+		answer := p.e.run(ctx, t, m)
+		p.ends <- copyEnd{node: t.Member.Node, answer: answer, took: time.Since(now)}
+	}()
+	return true
+}
+
+// target chooses the member of the next copy. A caller's key binds a request
+// to the key's home. The last try may queue at a member that refused before.
+func (p *placement) target(last bool, now time.Time) (Target, bool) {
+	if p.q.key != "" {
+		return p.home()
+	}
+	q := choose.Query{Service: p.q.service, Version: p.version, Tried: p.tried}
+	pick, ok := p.e.chooser.Choose(q, now)
+	if !ok && last {
+		q.Tried = nil
+		pick, ok = p.e.chooser.Choose(q, now)
+	}
+	if !ok {
+		return Target{}, false
+	}
+	t, ok := p.e.targets[pick.Member.Node]
+	return t, ok
+}
+
+// home returns the member that keeps the fence of the request's key. A home
+// that has been tried isn't tried again.
+func (p *placement) home() (Target, bool) {
+	var members []ident.Node
+	for n, t := range p.e.targets {
+		if t.Member.Service == p.q.service && (p.version == "" || t.Member.Version == p.version) {
+			members = append(members, n)
+		}
+	}
+	n, ok := fence.Home(p.q.key, members)
+	if !ok || slices.Contains(p.tried, n) {
+		return Target{}, false
+	}
+	return p.e.targets[n], true
+}
+
+func (p *placement) message(t Target, c retry.Chain, last bool) *wirepb.CallRequest {
+	id := fence.TryID(p.id, uint8(p.copies))
+	headers := call.Strip(p.q.header)
+	if p.q.host != "" {
+		headers = append(headers, &wirepb.Header{Name: "Host", Values: []string{p.q.host}})
+	}
+	return &wirepb.CallRequest{
+		Id:            id[:],
+		Start:         uint64(t.Start),
+		Service:       string(p.q.service),
+		Version:       string(t.Member.Version),
+		Route:         string(p.q.route),
+		Caller:        string(p.q.caller),
+		Method:        p.q.method,
+		Path:          p.q.path,
+		Headers:       headers,
+		Body:          p.q.body,
+		DeadlineNanos: p.plan.Deadline.UnixNano(),
+		Attempts:      int32(c.Attempts),
+		Depth:         int32(c.Depth),
+		Idempotent:    p.q.mayRepeat(),
+		Last:          last,
+		Key:           p.q.key,
+		Source:        string(p.e.o.Node),
+	}
+}
+
+// run sends one copy to its exit, which may be that of this node.
+func (e *Entry) run(ctx context.Context, t Target, m *wirepb.CallRequest) *wirepb.CallResponse {
+	if t.Member.Node == e.o.Node {
+		return e.o.Local.run(ctx, m)
+	}
+	r := &remote{peers: e.o.Peers, address: t.Address, q: m}
+	r.silent = func() {
+		e.o.Emit(event.ConnectionSilent,
+			event.F(event.Peer, t.Member.Node),
+			event.F(event.Address, t.Address),
+			event.F(event.Elapsed, progressLimit))
+	}
+	return r.run(ctx)
+}
+
+// hedgeDelay returns when a copy is worth sending a second time. Only
+// requests that may run twice are hedged; the plan sees to that.
+func (p *placement) hedgeDelay() time.Duration {
+	p.e.mu.Lock()
+	defer p.e.mu.Unlock()
+	d, ok := p.e.delays[p.q.service]
+	if !ok {
+		return maxTimeout
+	}
+	after, ok := d.Hedge()
+	if !ok {
+		return maxTimeout
+	}
+	return after
+}
+
+// learn passes the end of a copy on to the chooser.
+func (e *Entry) learn(s ident.Service, end copyEnd) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	a := end.answer
+	switch {
+	case a.GetHint() == nil:
+		e.chooser.Failed(end.node, now)
+	case a.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED:
+		e.chooser.Refused(end.node, hint(a.GetHint(), now), now)
+	case a.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && a.GetStatus() < http.StatusInternalServerError:
+		e.chooser.Done(end.node, hint(a.GetHint(), now), end.took, now)
+		e.delay(s).Observe(end.took)
+	default:
+		e.chooser.Failed(end.node, now)
+	}
+}
+
+func (e *Entry) delay(s ident.Service) *retry.Delay {
+	d, ok := e.delays[s]
+	if !ok {
+		d = &retry.Delay{}
+		e.delays[s] = d
+	}
+	return d
+}
--- /dev/null
+++ b/internal/exit/dispatch.go
@@ -0,0 +1,158 @@
+package exit
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+const (
+	// idleUpstream closes idle connections to the upstream before most
+	// servers do, which avoids requests on a connection about to close.
+	idleUpstream = 4 * time.Second
+	// dialLimit bounds the time to connect to an upstream on the same instance.
+	dialLimit = time.Second
+)
+
+// errSize reports an answer of an upstream above the body limit.
+var errSize = errors.New("answer exceeds the body limit")
+
+// dispatcher sends admitted requests to the upstream.
+type dispatcher struct {
+	http  *http.Client
+	bytes int64
+}
+
+func newDispatcher(bodyLimit int64, connections int) *dispatcher {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleUpstream,
+		DisableCompression:  true,
+	}
+	c := &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &dispatcher{http: c, bytes: bodyLimit}
+}
+
+// close drops the idle connections.
+func (d *dispatcher) close() {
+	d.http.CloseIdleConnections()
+}
+
+// send runs one request on the upstream at address. The outcome is Refused
+// only if no byte of the request can have reached the upstream, or if the
+// upstream itself states that it shed the request.
+func (d *dispatcher) send(ctx context.Context, address string, q *wirepb.CallRequest) *wirepb.CallResponse {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := request(httptrace.WithClientTrace(ctx, trace), address, q)
+	if err != nil {
+		return refusal(q, wirepb.Reason_REASON_MALFORMED)
+	}
+	resp, err := d.http.Do(req)
+	if err != nil && !connected.Load() {
+		return refusal(q, wirepb.Reason_REASON_DOWN)
+	}
+	if err != nil {
+		return unknown(q, wirepb.Reason_REASON_BROKEN)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(call.HeaderShed) == "true" {
+		return refusal(q, wirepb.Reason_REASON_SHED)
+	}
+	return d.answer(q, resp)
+}
+
+// answer reads the whole answer. A body that ends early leaves the outcome
+// unknown to the caller, who must not take it for the whole.
+func (d *dispatcher) answer(q *wirepb.CallRequest, resp *http.Response) *wirepb.CallResponse {
+	body, err := readAll(resp.Body, d.bytes)
+	if errors.Is(err, errSize) {
+		return unknown(q, wirepb.Reason_REASON_SIZE)
+	}
+	if err != nil {
+		return unknown(q, wirepb.Reason_REASON_BROKEN)
+	}
+	return &wirepb.CallResponse{
+		Id:      q.GetId(),
+		Outcome: wirepb.Outcome_OUTCOME_RAN,
+		Status:  int32(resp.StatusCode),
+		Headers: call.Strip(resp.Header),
+		Body:    body,
+	}
+}
+
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errSize
+	}
+	return body, nil
+}
+
+// request builds the upstream's request.
+//
+// net/http resends a request on its own after a broken connection if the
+// request has a header named Idempotency-Key or a method without side
+// effects. Resending is this system's decision, so the key is set under a
+// spelling that the transport doesn't look up, and a body that can't be
+// rewound keeps every other method from being resent.
+func request(ctx context.Context, address string, q *wirepb.CallRequest) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, q.GetMethod(), "http://"+address+q.GetPath(), http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	if len(q.GetBody()) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(q.GetBody()))
+		req.ContentLength = int64(len(q.GetBody()))
+	}
+	req.GetBody = nil
+	call.Restore(req.Header, q.GetHeaders())
+	if key := req.Header.Get(call.HeaderKey); key != "" {
+		req.Header.Del(call.HeaderKey)
+		req.Header[strings.ToLower(call.HeaderKey)] = []string{key}
+	}
+	if host := req.Header.Get("Host"); host != "" {
+		req.Host = host
+		req.Header.Del("Host")
+	}
+	chain(req.Header, q, time.Until(time.Unix(0, q.GetDeadlineNanos())))
+	return req, nil
+}
+
+// chain sets the headers that an upstream hands down when it calls further.
+func chain(h http.Header, q *wirepb.CallRequest, left time.Duration) {
+	var id ident.Request
+	copy(id[:], q.GetId())
+	h.Set(call.HeaderRequest, id.String())
+	h.Set(call.HeaderTimeout, left.String())
+	h.Set(call.HeaderAttempts, strconv.Itoa(int(q.GetAttempts())))
+	h.Set(call.HeaderDepth, strconv.Itoa(int(q.GetDepth())))
+	h.Set(call.HeaderCaller, q.GetCaller())
+}
+
+func refusal(q *wirepb.CallRequest, r wirepb.Reason) *wirepb.CallResponse {
+	return &wirepb.CallResponse{Id: q.GetId(), Outcome: wirepb.Outcome_OUTCOME_REFUSED, Reason: r}
+}
+
+func unknown(q *wirepb.CallRequest, r wirepb.Reason) *wirepb.CallResponse {
+	return &wirepb.CallResponse{Id: q.GetId(), Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: r}
+}
--- /dev/null
+++ b/internal/exit/exit.go
@@ -0,0 +1,348 @@
+// Package exit runs requests on the upstream beside the node. It is the shell
+// of the fence and admit machines and the only part of the system that sends
+// work to the upstream.
+//
+// Invariants: a request is dispatched only after its fence says Run and the
+// limiter admits it; every dispatched request is finished in both. The work
+// doesn't depend on the connection that brought it: a connection that breaks
+// or goes silent neither stops nor repeats a request.
+package exit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadahall/cicadahall/admit"
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/fence"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+const (
+	// tickInterval is how often queued requests are checked for expiry.
+	tickInterval = 5 * time.Millisecond
+	// heartbeatLimit is the age of an announcement after which the upstream
+	// counts as gone. Upstreams repeat it several times a second.
+	heartbeatLimit = 3 * time.Second
+)
+
+// Options configure an Exit.
+type Options struct {
+	Start ident.Start
+	Node  ident.Node
+	// Body bounds an answer of the upstream in bytes.
+	Body int64
+	// Queue bounds the requests that wait for a slot.
+	Queue int
+	// Connections bounds the idle connections to the upstream.
+	Connections int
+	// Admits tells whether the node's failure domain takes new work.
+	Admits func(now time.Time) bool
+	// Emit records an event.
+	Emit func(code event.Code, fields ...event.Field)
+	// Count takes every request that has ended, run or not. It is called with
+	// the Exit locked and must not call back.
+	Count func(Run)
+	// Changed is called after the upstream's record has changed.
+	Changed func()
+}
+
+// job is one request that the fence let through.
+type job struct {
+	id     ident.Request
+	q      *wirepb.CallRequest
+	cancel context.CancelFunc
+	ctx    context.Context
+	done   chan struct{}
+	began  time.Time
+	// answer is set before done is closed.
+	answer *wirepb.CallResponse
+}
+
+// Exit is safe for concurrent use.
+type Exit struct {
+	o        Options
+	dispatch *dispatcher
+
+	mu       sync.Mutex
+	limiter  *admit.Limiter
+	fences   *fence.Table[*wirepb.CallResponse]
+	jobs     map[ident.Request]*job
+	upstream Upstream
+	reported LoadReport
+	// draining is set while nothing is admitted, closing once that is final.
+	draining bool
+	closing  bool
+
+	running sync.WaitGroup
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+// New returns an Exit without an upstream.
+func New(o Options) *Exit {
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Exit{
+		o:        o,
+		dispatch: newDispatcher(o.Body, o.Connections),
+		jobs:     map[ident.Request]*job{},
+		stop:     stop,
+		ended:    make(chan struct{}),
+	}
+	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{
+		Start: o.Start,
+		Size:  func(a *wirepb.CallResponse) int { return len(a.GetBody()) + answerOverhead },
+	})
+	e.limiter = e.newLimiter()
+	go func() {
+		defer close(e.ended)
+		e.tick(ctx)
+	}()
+	return e
+}
+
+// answerOverhead is what a stored answer takes beside its body, in bytes.
+const answerOverhead = 512
+
+func (e *Exit) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			e.expire()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// expire gives up what waits too long and an upstream that has gone silent.
+func (e *Exit) expire() {
+	e.mu.Lock()
+	now := time.Now()
+	e.limiter.Tick(now)
+	e.fences.Expire(now)
+	gone := e.upstream.Ready && now.Sub(e.upstream.heard) > heartbeatLimit
+	if gone {
+		e.withdraw("heartbeat")
+	}
+	e.mu.Unlock()
+	if gone {
+		e.o.Changed()
+	}
+}
+
+// Call runs one request or refuses it.
+func (e *Exit) Call(ctx context.Context, q *wirepb.CallRequest) *wirepb.CallResponse {
+	j, answer := e.accept(q)
+	if answer != nil {
+		return e.seal(answer)
+	}
+	select {
+	case <-j.done:
+		return e.seal(j.answer)
+	case <-ctx.Done():
+		return e.seal(unknown(q, wirepb.Reason_REASON_LATE))
+	}
+}
+
+// seal returns a copy of the answer with the current load.
+func (e *Exit) seal(a *wirepb.CallResponse) *wirepb.CallResponse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &wirepb.CallResponse{
+		Id:         a.GetId(),
+		Outcome:    a.GetOutcome(),
+		Reason:     a.GetReason(),
+		Status:     a.GetStatus(),
+		Headers:    a.GetHeaders(),
+		Body:       a.GetBody(),
+		BusyNanos:  a.GetBusyNanos(),
+		RetryNanos: a.GetRetryNanos(),
+		Start:      uint64(e.o.Start),
+		Hint:       e.hint(),
+	}
+}
+
+// accept passes a request through fence and limiter. It returns a job to wait
+// for, or the answer.
+func (e *Exit) accept(q *wirepb.CallRequest) (*job, *wirepb.CallResponse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	deadline := time.Unix(0, q.GetDeadlineNanos())
+	id := requestID(q.GetId())
+	v := e.fences.Begin(id, ident.Start(q.GetStart()), deadline, now)
+	if v.Kind != fence.Run {
+		return e.duplicate(id, q, v, refusal)
+	}
+	if r := e.objection(q, now); r != wirepb.Reason_REASON_NONE {
+		return nil, e.refuse(q, refusal(q, r), now)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	j := &job{id: id, q: q, ctx: ctx, cancel: cancel, done: make(chan struct{}), began: now}
+	e.jobs[id] = j
+	e.running.Add(1)
+	e.offer(j, deadline, now)
+	return j, nil
+}
+
+// objection returns why the node can't take the request at all.
+func (e *Exit) objection(q *wirepb.CallRequest, now time.Time) wirepb.Reason {
+	switch {
+	case e.draining:
+		return wirepb.Reason_REASON_LEAVING
+	case !e.upstream.Ready:
+		return wirepb.Reason_REASON_DOWN
+	case string(e.upstream.Service) != q.GetService():
+		return wirepb.Reason_REASON_SERVICE
+	case q.GetVersion() != "" && string(e.upstream.Version) != q.GetVersion():
+		return wirepb.Reason_REASON_SERVICE
+	case !e.o.Admits(now):
+		return wirepb.Reason_REASON_DOMAIN
+	default:
+		return wirepb.Reason_REASON_NONE
+	}
+}
+
+// ending makes the answer to a message that the fence can't judge.
+type ending func(q *wirepb.CallRequest, r wirepb.Reason) *wirepb.CallResponse
+
+// duplicate answers a message that the fence doesn't let through. A message
+// for another start or after its deadline proves nothing about earlier copies.
+// A Call is sent on one connection only and never resent, so that its refusal
+// on that connection is true; after a Resolve the outcome stays unknown.
+func (e *Exit) duplicate(id ident.Request, q *wirepb.CallRequest, v fence.Verdict[*wirepb.CallResponse], unjudged ending) (*job, *wirepb.CallResponse) {
+	switch v.Kind {
+	case fence.DuplicateRunning:
+		return e.jobs[id], nil
+	case fence.DuplicateFinished:
+		if v.Stored {
+			return nil, v.Answer.Value
+		}
+		return nil, unknown(q, wirepb.Reason_REASON_LOST)
+	case fence.DuplicateRefused:
+		return nil, refusal(q, wirepb.Reason_REASON_DUPLICATE)
+	case fence.CancelledFirst:
+		return nil, refusal(q, wirepb.Reason_REASON_CANCELLED)
+	case fence.Full:
+		return nil, refusal(q, wirepb.Reason_REASON_FULL)
+	case fence.Expired:
+		return nil, unjudged(q, wirepb.Reason_REASON_LATE)
+	default:
+		return nil, unjudged(q, wirepb.Reason_REASON_START)
+	}
+}
+
+// refuse ends a request that the fence let through without running it.
+func (e *Exit) refuse(q *wirepb.CallRequest, a *wirepb.CallResponse, now time.Time) *wirepb.CallResponse {
+	e.fences.Finish(requestID(q.GetId()), fence.Answer[*wirepb.CallResponse]{State: fence.Refused, Value: a}, now)
+	e.count(q, a, 0)
+	return a
+}
+
+// run dispatches an admitted request and ends it.
+func (e *Exit) run(j *job, address string) {
+	began := time.Now()
+	a := e.dispatch.send(j.ctx, address, j.q)
+	busy := time.Since(began)
+	a.BusyNanos = int64(busy)
+	e.finish(j, a, busy)
+}
+
+// finish ends a job in the fence, in the limiter and in the work report.
+func (e *Exit) finish(j *job, a *wirepb.CallResponse, busy time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	state := fence.Ran
+	if a.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED {
+		state = fence.Refused
+	}
+	e.end(j, a, state, now)
+	e.count(j.q, a, busy)
+	e.release(j, a, now)
+}
+
+// end stores the answer and wakes everyone who waits for it.
+func (e *Exit) end(j *job, a *wirepb.CallResponse, s fence.State, now time.Time) {
+	e.fences.Finish(j.id, fence.Answer[*wirepb.CallResponse]{State: s, Value: a}, now)
+	delete(e.jobs, j.id)
+	j.answer = a
+	j.cancel()
+	close(j.done)
+	e.running.Done()
+}
+
+// Resolve tells what became of a request. A request that hasn't arrived is
+// cancelled, so that it never runs here.
+func (e *Exit) Resolve(ctx context.Context, r *wirepb.ResolveRequest) *wirepb.CallResponse {
+	j, answer := e.look(r)
+	if answer != nil {
+		return e.seal(answer)
+	}
+	if r.GetAbort() {
+		e.abort(j)
+	}
+	t := time.NewTimer(time.Duration(r.GetWaitNanos()))
+	defer t.Stop()
+	select {
+	case <-j.done:
+		return e.seal(j.answer)
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return e.seal(unknown(j.q, wirepb.Reason_REASON_RUNNING))
+}
+
+func (e *Exit) look(r *wirepb.ResolveRequest) (*job, *wirepb.CallResponse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := requestID(r.GetId())
+	q := &wirepb.CallRequest{Id: r.GetId()}
+	v := e.fences.Cancel(id, ident.Start(r.GetStart()), time.Unix(0, r.GetDeadlineNanos()), time.Now())
+	return e.duplicate(id, q, v, unknown)
+}
+
+// Drain refuses new work and waits until the running work has ended or ctx has.
+func (e *Exit) Drain(ctx context.Context) error {
+	e.mu.Lock()
+	e.closing = true
+	e.refuseAll(time.Now())
+	e.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		e.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close stops running requests and waits for them.
+func (e *Exit) Close() {
+	e.mu.Lock()
+	e.closing = true
+	e.refuseAll(time.Now())
+	for _, j := range e.jobs {
+		j.cancel()
+	}
+	e.mu.Unlock()
+	e.running.Wait()
+	e.stop()
+	<-e.ended
+	e.dispatch.close()
+}
+
+func requestID(b []byte) ident.Request {
+	var id ident.Request
+	copy(id[:], b)
+	return id
+}
--- /dev/null
+++ b/internal/exit/limit.go
@@ -0,0 +1,140 @@
+package exit
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cicadahall/cicadahall/admit"
+	"github.com/cicadahall/cicadahall/fence"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+// Run is a request that has ended at this exit.
+type Run struct {
+	Service ident.Service
+	Version ident.Version
+	Route   ident.Route
+	Caller  ident.Service
+	Outcome wirepb.Outcome
+	// Failed is set if the upstream's answer reports a server error.
+	Failed bool
+	// Busy is how long the request took a slot.
+	Busy time.Duration
+	// In and Out are the bodies' sizes in bytes.
+	In  int
+	Out int
+}
+
+func (e *Exit) newLimiter() *admit.Limiter {
+	return admit.New(admit.Options{
+		Queue:  e.o.Queue,
+		Start:  func(t admit.Ticket, now time.Time) { e.begin(e.jobs[t.ID], now) },
+		Expire: e.giveUp,
+	})
+}
+
+// offer asks the limiter about a job that the fence has let through.
+func (e *Exit) offer(j *job, deadline, now time.Time) {
+	d := e.limiter.Offer(admit.Ticket{ID: j.id, Deadline: deadline, Last: j.q.GetLast()}, now)
+	switch d.Verdict {
+	case admit.Run:
+		e.begin(j, now)
+	case admit.Refuse:
+		a := refusal(j.q, reasonOf(d.Reason))
+		a.RetryNanos = int64(d.RetryAfter)
+		e.end(j, a, fence.Refused, now)
+		e.count(j.q, a, 0)
+	}
+}
+
+// begin dispatches a job; it is called with the lock held.
+func (e *Exit) begin(j *job, now time.Time) {
+	j.began = now
+	address := e.upstream.Address
+	go e.run(j, address)
+}
+
+// giveUp ends a job that has left the queue without having run.
+func (e *Exit) giveUp(t admit.Ticket, r admit.Reason, now time.Time) {
+	j := e.jobs[t.ID]
+	a := refusal(j.q, reasonOf(r))
+	e.end(j, a, fence.Refused, now)
+	e.count(j.q, a, 0)
+}
+
+// abort stops a job whose caller has gone. A queued one ends as not run.
+func (e *Exit) abort(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.jobs[j.id] == j && e.limiter.Cancel(j.id, now) {
+		e.end(j, refusal(j.q, wirepb.Reason_REASON_ABORTED), fence.Refused, now)
+		return
+	}
+	j.cancel()
+}
+
+// release gives the slot of a finished job back.
+func (e *Exit) release(j *job, a *wirepb.CallResponse, now time.Time) {
+	e.limiter.Finish(j.id, resultOf(j, a), now)
+}
+
+// refuseAll stops admission; queued jobs end as not run.
+func (e *Exit) refuseAll(now time.Time) {
+	e.draining = true
+	e.limiter.Drain(now)
+}
+
+// resultOf tells the limiter what the end of a request shows of the
+// upstream's state. A request that its caller has aborted or that ran into
+// its own deadline shows nothing, so it counts like any complete answer.
+func resultOf(j *job, a *wirepb.CallResponse) admit.Result {
+	switch {
+	case a.GetReason() == wirepb.Reason_REASON_SHED:
+		return admit.Shed
+	case a.GetOutcome() != wirepb.Outcome_OUTCOME_RAN && j.ctx.Err() == nil:
+		return admit.Broken
+	case a.GetStatus() >= http.StatusInternalServerError:
+		return admit.Failed
+	default:
+		return admit.Done
+	}
+}
+
+func reasonOf(r admit.Reason) wirepb.Reason {
+	switch r {
+	case admit.Full:
+		return wirepb.Reason_REASON_FULL
+	case admit.Late:
+		return wirepb.Reason_REASON_LATE
+	default:
+		return wirepb.Reason_REASON_LEAVING
+	}
+}
+
+// hint returns the load that answers carry; it is called with the lock held.
+func (e *Exit) hint() *wirepb.Hint {
+	l := e.limiter.Load()
+	return &wirepb.Hint{
+		Inflight:     l.Inflight,
+		Queued:       l.Queued,
+		Limit:        l.Limit,
+		ServiceNanos: int64(l.Service),
+		Leaving:      e.draining,
+	}
+}
+
+func (e *Exit) count(q *wirepb.CallRequest, a *wirepb.CallResponse, busy time.Duration) {
+	e.o.Count(Run{
+		Service: ident.Service(q.GetService()),
+		Version: e.upstream.Version,
+		Route:   ident.Route(q.GetRoute()),
+		Caller:  ident.Service(q.GetCaller()),
+		Outcome: a.GetOutcome(),
+		Failed:  a.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && a.GetStatus() >= http.StatusInternalServerError,
+		Busy:    busy,
+		In:      len(q.GetBody()),
+		Out:     len(a.GetBody()),
+	})
+}
--- /dev/null
+++ b/internal/node/conf.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cicadahall/cicadahall/config"
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/entry"
+	"github.com/cicadahall/cicadahall/internal/spec"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+const (
+	// confTick is how often the follower looks at what is due.
+	confTick = 100 * time.Millisecond
+	// storeLimit bounds one call to the platform.
+	storeLimit = 3 * time.Second
+	// peerLimit bounds one call for a body to a peer.
+	peerLimit = 2 * time.Second
+)
+
+// conf drives the configuration follower and puts manifests in force.
+type conf struct {
+	n    *Node
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+
+	mu       sync.Mutex
+	follower *config.Follower
+	manifest *spec.Manifest
+}
+
+func newConf(n *Node) *conf {
+	c := &conf{n: n}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.follower = config.NewFollower(config.FollowerOptions{
+		FetchStore: c.fetchStore,
+		FetchPeer:  c.fetchPeer,
+		Adopt:      c.adopt,
+		Report: func(err error) {
+			n.log.Emit(event.ManifestRejected, event.F(event.Error, err))
+		},
+		Rand: rand.Float64,
+	})
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		c.run()
+	}()
+	return c
+}
+
+func (c *conf) run() {
+	t := time.NewTicker(confTick)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			c.mu.Lock()
+			c.follower.Tick(now)
+			c.mu.Unlock()
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// Close waits until no read is under way.
+func (c *conf) Close() {
+	c.stop()
+	c.wait.Wait()
+}
+
+// offer passes on a head from gossip or from the store.
+func (c *conf) offer(h config.Head) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follower.Offer(h, time.Now())
+}
+
+func (c *conf) body(d ident.Digest, body []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follower.Body(d, body, time.Now())
+}
+
+// force returns the head in force.
+func (c *conf) force() config.Head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follower.Head()
+}
+
+func (c *conf) held(d ident.Digest) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follower.Held(d)
+}
+
+// fetchStore is called with the lock held and reads in the background.
+func (c *conf) fetchStore(f config.Fetch) {
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, storeLimit)
+		defer cancel()
+		if f.Digest == "" {
+			c.readHead(ctx)
+			return
+		}
+		if body, r := c.n.objects.Get(ctx, config.BodyKey(f.Digest)); r.OK() {
+			c.body(f.Digest, body)
+		}
+	}()
+}
+
+func (c *conf) readHead(ctx context.Context) {
+	row, r := c.n.table.Get(ctx, config.HeadKey)
+	if !r.OK() {
+		return
+	}
+	h, err := config.ParseHead(row.Value)
+	if err != nil {
+		c.n.log.Emit(event.ManifestRejected, event.F(event.Error, err))
+		return
+	}
+	c.offer(h)
+}
+
+// fetchPeer is called with the lock held and asks one random member.
+func (c *conf) fetchPeer(f config.Fetch) {
+	address, ok := c.n.roster.random()
+	if !ok {
+		return
+	}
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, peerLimit)
+		defer cancel()
+		a, err := c.n.pool.Client(address).Body(ctx, &wirepb.BodyRequest{Digest: string(f.Digest)})
+		if err == nil {
+			c.body(f.Digest, a.GetBody())
+		}
+	}()
+}
+
+// adopt is called with the lock held. A manifest that this release can't read
+// was written by a newer one: the manifest before stays in force.
+func (c *conf) adopt(h config.Head, body []byte) {
+	m, err := spec.ParseManifest("manifest", body)
+	if err != nil {
+		c.n.log.Emit(event.ManifestRejected,
+			event.F(event.Revision, h.Revision),
+			event.F(event.Digest, h.Digest),
+			event.F(event.Error, err))
+		return
+	}
+	c.manifest = m
+	c.n.entry.SetCatalog(entry.NewCatalog(m))
+	c.n.log.Emit(event.ManifestAdopted, event.F(event.Revision, h.Revision), event.F(event.Digest, h.Digest))
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,146 @@
+// Package peer carries calls between nodes over connect-go. Every peer has a
+// transport of its own, so that what is learned about one connection to a
+// peer can be applied to the idle ones, and no two calls share a connection.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/samber/oops"
+
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+const (
+	// dialLimit bounds the time to open a connection to a peer. Three times
+	// the slowest round trip between regions leaves room for one lost SYN.
+	dialLimit = 1500 * time.Millisecond
+	// idleLimit closes idle connections before a device on the path forgets
+	// them, after which they would be silent.
+	idleLimit = 20 * time.Second
+	// maxIdle bounds the idle connections to one peer.
+	maxIdle = 64
+	// messageSlack is added to the body limit for the rest of a message.
+	messageSlack = 256 << 10
+)
+
+// Options configure a Pool.
+type Options struct {
+	// Body bounds the body of one request or answer in bytes.
+	Body int64
+}
+
+// Pool holds the connections to all peers. It is safe for concurrent use.
+type Pool struct {
+	o     Options
+	mu    sync.Mutex
+	links map[string]*link
+	fresh wirepbClients
+}
+
+// wirepbClients makes a client on a given HTTP client.
+type wirepbClients func(h *http.Client, address string) wirepb.PeerClient
+
+// link is the connections to one peer.
+type link struct {
+	transport *http.Transport
+	client    wirepb.PeerClient
+}
+
+// NewPool returns a pool without connections.
+func NewPool(o Options) *Pool {
+	limit := connect.WithReadMaxBytes(int(o.Body) + messageSlack)
+	return &Pool{
+		o:     o,
+		links: map[string]*link{},
+		fresh: func(h *http.Client, address string) wirepb.PeerClient {
+			return wirepb.NewPeerClient(h, "http://"+address, limit)
+		},
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleLimit,
+		DisableCompression:  true,
+	}
+}
+
+// Client returns the client over the pooled connections to a peer.
+func (p *Pool) Client(address string) wirepb.PeerClient {
+	return p.link(address).client
+}
+
+func (p *Pool) link(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.links[address]
+	if !ok {
+		t := newTransport()
+		l = &link{transport: t, client: p.fresh(&http.Client{Transport: t}, address)}
+		p.links[address] = l
+	}
+	return l
+}
+
+// Call sends one request to the exit node at address. It calls progress when
+// the exit confirms that the request's headers have arrived, which proves that
+// the connection isn't silent.
+func (p *Pool) Call(ctx context.Context, address string, q *wirepb.CallRequest, progress func()) (*wirepb.CallResponse, error) {
+	t := &httptrace.ClientTrace{
+		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+			if code == http.StatusProcessing {
+				progress()
+			}
+			return nil
+		},
+	}
+	r, err := p.Client(address).Call(httptrace.WithClientTrace(ctx, t), q)
+	if err != nil {
+		return nil, oops.With("step", "call", "peer", address).Wrap(err)
+	}
+	return r, nil
+}
+
+// Resolve asks over a new connection what became of a request.
+func (p *Pool) Resolve(ctx context.Context, address string, q *wirepb.ResolveRequest) (*wirepb.CallResponse, error) {
+	t := newTransport()
+	t.DisableKeepAlives = true
+	r, err := p.fresh(&http.Client{Transport: t}, address).Resolve(ctx, q)
+	if err != nil {
+		return nil, oops.With("step", "resolve", "peer", address).Wrap(err)
+	}
+	return r, nil
+}
+
+// Distrust closes the idle connections to a peer after one of them was
+// silent: what made one silent has often made the others silent, too.
+func (p *Pool) Distrust(address string) {
+	p.link(address).transport.CloseIdleConnections()
+}
+
+// Forget drops the connections to peers that aren't in use any more.
+func (p *Pool) Forget(used map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, l := range p.links {
+		if !used[a] {
+			l.transport.CloseIdleConnections()
+			delete(p.links, a)
+		}
+	}
+}
+
+// Close drops all idle connections.
+func (p *Pool) Close() {
+	p.Forget(nil)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+const (
+	// headerLimit bounds the time in which a peer sends a request's headers.
+	headerLimit = 5 * time.Second
+	// idleServer is above idleLimit, so that the client closes first and no
+	// request meets a connection that the server is just closing.
+	idleServer = 2 * idleLimit
+)
+
+// NewServer returns the HTTP server of a node's peer port. It answers every
+// Call with an interim 102 response first, by which the entry node tells a
+// slow request from a silent connection.
+func NewServer(h wirepb.PeerHandler, o Options) *http.Server {
+	path, handler := wirepb.NewPeerHandler(h, connect.WithReadMaxBytes(int(o.Body)+messageSlack))
+	m := http.NewServeMux()
+	m.Handle(path, handler)
+	m.HandleFunc(wirepb.PeerCallProcedure, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusProcessing)
+		handler.ServeHTTP(w, r)
+	})
+	return &http.Server{
+		Handler:           m,
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       idleServer,
+	}
+}
