--- a/internal/cmd/verbs/verbs.go
+++ b/internal/cmd/verbs/verbs.go
@@ -59,6 +59,7 @@
 
 func table(s streams) []verb {
 	return []verb{
+		{"check", "check manifests and settings", checkHelp, &checkVerb{s: s}},
 		{"version", "print the version", "Prints the version of this binary.\n\nExample: cicadahall version", &versionVerb{s: s}},
 	}
 }
