Fence callers' keys at their home and gate failure domains on both sides

Cause: the exit ignored Idempotency-Key and the manifest's domains. Ruled out: a home within the version cohort, because a key would change its home with the share of a move and could run in both cohorts. Measured: not yet; the whole-path tests follow. Conclusion: the home is one member of the service, whatever its version.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 	mu      sync.Mutex
 	chooser *choose.Chooser
 	targets map[ident.Node]Target
+	homes   map[ident.Service][]ident.Node
 	budget  *retry.Budget
 	delays  map[ident.Service]*retry.Delay
 	running sync.WaitGroup
@@ -95,6 +97,22 @@
 	}
 	e.chooser.Update(members)
 	e.targets = byNode
+	e.homes = Homes(members)
+}
+
+// Homes lists, by service and in order, the members that can be the home of a
+// caller's key. Entries and exits have to agree on them.
+func Homes(members []choose.Member) map[ident.Service][]ident.Node {
+	homes := map[ident.Service][]ident.Node{}
+	for _, m := range members {
+		if m.State != choose.Leaving {
+			homes[m.Service] = append(homes[m.Service], m.Node)
+		}
+	}
+	for _, l := range homes {
+		slices.Sort(l)
+	}
+	return homes
 }
 
 // Close waits until all copies of requests have ended.
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -202,16 +202,11 @@
 	return t, ok
 }
 
-// home returns the member that keeps the fence of the request's key. A home
-// that has been tried isn't tried again.
+// home returns the member that keeps the fence of the request's key, whatever
+// version it runs: a home that moved with the cohort would forget the key. A
+// home that has been tried isn't tried again.
 func (p *placement) home() (Target, bool) {
-	var members []ident.Node
-	for n, t := range p.e.targets {
-		if t.Member.Service == p.q.service && (p.version == "" || t.Member.Version == p.version) {
-			members = append(members, n)
-		}
-	}
-	n, ok := fence.Home(p.q.key, members)
+	n, ok := fence.Home(p.q.key, p.e.homes[p.q.service])
 	if !ok || slices.Contains(p.tried, n) {
 		return Target{}, false
 	}
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -69,6 +69,7 @@
 	mu       sync.Mutex
 	limiter  *admit.Limiter
 	fences   *fence.Table[*wirepb.CallResponse]
+	keys     *fence.Keys[*wirepb.CallResponse]
 	jobs     map[ident.Request]*job
 	upstream Upstream
 	reported LoadReport
@@ -91,10 +92,8 @@
 		stop:     stop,
 		ended:    make(chan struct{}),
 	}
-	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{
-		Start: o.Start,
-		Size:  func(a *wirepb.CallResponse) int { return len(a.GetBody()) + answerOverhead },
-	})
+	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{Start: o.Start, Size: answerSize})
+	e.keys = fence.NewKeys(fence.KeyOptions[*wirepb.CallResponse]{Self: o.Node, Size: answerSize}, nil, time.Now())
 	e.limiter = e.newLimiter()
 	go func() {
 		defer close(e.ended)
@@ -106,6 +105,10 @@
 // answerOverhead is what a stored answer takes beside its body, in bytes.
 const answerOverhead = 512
 
+func answerSize(a *wirepb.CallResponse) int {
+	return len(a.GetBody()) + answerOverhead
+}
+
 func (e *Exit) tick(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
@@ -182,6 +185,9 @@
 	if r := e.objection(q, now); r != wirepb.Reason_REASON_NONE {
 		return nil, e.refuse(q, refusal(q, r), now)
 	}
+	if a := e.claim(q, now); a != nil {
+		return nil, e.answerByKey(id, q, a, now)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	j := &job{id: id, q: q, ctx: ctx, cancel: cancel, done: make(chan struct{}), began: now}
 	e.jobs[id] = j
@@ -269,7 +275,11 @@
 
 // end stores the answer and wakes everyone who waits for it.
 func (e *Exit) end(j *job, a *wirepb.CallResponse, s fence.State, now time.Time) {
-	e.fences.Finish(j.id, fence.Answer[*wirepb.CallResponse]{State: s, Value: a}, now)
+	f := fence.Answer[*wirepb.CallResponse]{State: s, Value: a}
+	e.fences.Finish(j.id, f, now)
+	if j.q.GetKey() != "" {
+		e.keys.Finish(j.q.GetKey(), f, now)
+	}
 	delete(e.jobs, j.id)
 	j.answer = a
 	j.cancel()
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -162,6 +162,7 @@
 		return
 	}
 	c.manifest = m
+	c.n.gate.set(m.Domains, h.Revision, time.Now())
 	c.n.entry.SetCatalog(entry.NewCatalog(m))
 	c.n.log.Emit(event.ManifestAdopted, event.F(event.Revision, h.Revision), event.F(event.Digest, h.Digest))
 }
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cicadahall/cicadahall/domain"
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/spec"
+)
+
+// gate makes a domain.Gate safe for concurrent use and reports its changes.
+type gate struct {
+	emit func(event.Code, ...event.Field)
+	mu   sync.Mutex
+	gate *domain.Gate
+	out  map[ident.Domain]bool
+}
+
+func newGate(emit func(event.Code, ...event.Field)) *gate {
+	return &gate{emit: emit, gate: domain.New(domain.Options{}), out: map[ident.Domain]bool{}}
+}
+
+// set puts the domains of a manifest in force.
+func (g *gate) set(domains []spec.Domain, r ident.Revision, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	states := make([]domain.State, 0, len(domains))
+	for _, d := range domains {
+		out := d.State == spec.Out
+		states = append(states, domain.State{Domain: d.Name, Out: out})
+		g.report(d.Name, out, r)
+	}
+	g.gate.Set(states, now)
+}
+
+func (g *gate) report(d ident.Domain, out bool, r ident.Revision) {
+	if g.out[d] == out {
+		return
+	}
+	g.out[d] = out
+	code := event.DomainIn
+	if out {
+		code = event.DomainOut
+	}
+	g.emit(code, event.F(event.Domain, d), event.F(event.Revision, r))
+}
+
+func (g *gate) weight(d ident.Domain, now time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Weight(d, now)
+}
+
+func (g *gate) admits(d ident.Domain, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Admits(d, now)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	exit     *exit.Exit
 	entry    *entry.Entry
 	pool     *peer.Pool
+	gate     *gate
 	roster   *roster
 	conf     *conf
 
@@ -62,13 +63,14 @@
 	}
 	level, _ := event.ParseLevel(string(s.Log))
 	n.log = event.New(event.Options{Node: s.Node, Start: n.start, Level: level, Output: output})
+	n.gate = newGate(n.log.Emit)
 	n.exit = exit.New(exit.Options{
 		Start:       n.start,
 		Node:        s.Node,
 		Body:        int64(s.Limits.Body),
 		Queue:       s.Limits.Queue,
 		Connections: s.Limits.Queue,
-		Admits:      func(time.Time) bool { return true },
+		Admits:      func(now time.Time) bool { return n.gate.admits(s.Domain, now) },
 		Emit:        n.log.Emit,
 		Count:       func(exit.Run) {},
 		Changed:     n.announce,
@@ -89,7 +91,7 @@
 		Body:     int64(n.settings.Limits.Body),
 		Inflight: n.settings.Limits.Inflight,
 		Rand:     rand.Uint64,
-		Weight:   func(ident.Domain, time.Time) float64 { return 1 },
+		Weight:   n.gate.weight,
 		Cohort:   func(ident.Service, uint64, time.Time) ident.Version { return "" },
 		Peers: entry.Peers{
 			Call:     n.pool.Call,
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -130,7 +130,17 @@
 	r.mu.Lock()
 	r.rows = rows
 	r.mu.Unlock()
-	r.n.entry.Update(targets(rows))
+	r.publish(targets(rows))
+}
+
+// publish hands the members to the entry and to the exit's key fences.
+func (r *roster) publish(ts []entry.Target) {
+	r.n.entry.Update(ts)
+	members := make([]choose.Member, 0, len(ts))
+	for _, t := range ts {
+		members = append(members, t.Member)
+	}
+	r.n.exit.SetMembers(entry.Homes(members)[r.n.exit.Upstream().Service])
 }
 
 func targets(rows []joinRow) []entry.Target {
