Add the verb timeline and package gather

The peers are asked for the members, all members for their events in pages of 1,000, and log files are merged in. What is missing is stated: nodes that did not answer, records that a ring has lost, lines that are not events.

A node may be known under several addresses, so all are tried before it counts as silent.

--- a/event/write_test.go
+++ b/event/write_test.go
@@ -74,3 +74,12 @@
 	}
 	assert.Assert(t, strings.Contains(b.String(), "default-src 'none'"))
 }
+
+// Guards against JSON whose keys differ from the log line or that loses digits
+// of the start in a reader with 53-bit numbers.
+func TestRecordJSON(t *testing.T) {
+	b, err := json.Marshal(sample()[0])
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), `{"time":"2026-12-04T12:00:00.000000000Z","logical":0,"node":"a","start":"8000000000000001","seq":1,`+
+		`"level":"info","code":101,"event":"node-ready","fields":[{"name":"elapsed","value":"20 ms"}]}`)
+}
--- a/internal/cmd/verbs/verbs.go
+++ b/internal/cmd/verbs/verbs.go
@@ -60,6 +60,7 @@
 func table(s streams) []verb {
 	return []verb{
 		{"check", "check manifests and settings", checkHelp, &checkVerb{s: s}},
+		{"timeline", "merge the events of all nodes", timelineHelp, &timelineVerb{s: s}},
 		{"version", "print the version", "Prints the version of this binary.\n\nExample: cicadahall version", &versionVerb{s: s}},
 	}
 }
--- /dev/null
+++ b/internal/gather/gather_test.go
@@ -0,0 +1,177 @@
+package gather_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/gather"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+var errRefused = errors.New("connection refused")
+
+// system is a set of nodes by address.
+type system struct {
+	members []*wirepb.Record
+	logs    map[string]*event.Log
+	names   map[string]string
+}
+
+func newSystem() *system {
+	return &system{logs: map[string]*event.Log{}, names: map[string]string{}}
+}
+
+// add makes a node with n events. Its clock starts at the given second.
+func (s *system) add(name, address string, n, second int) *event.Log {
+	at := time.Date(2026, 12, 4, 12, 0, second, 0, time.UTC)
+	l := event.New(event.Options{Node: ident.Node(name), Start: 1, Size: 2500, Now: func() time.Time { return at }})
+	for range n {
+		l.Emit(event.NodeReady)
+	}
+	s.logs[address] = l
+	s.names[address] = name
+	s.know(name, address, 1)
+	return l
+}
+
+func (s *system) know(name, address string, incarnation uint64) {
+	s.members = append(s.members, &wirepb.Record{Node: name, Rpc: address, Incarnation: incarnation})
+}
+
+func (s *system) collector() *gather.Collector {
+	return &gather.Collector{
+		Timeout: 5 * time.Second,
+		Status: func(_ context.Context, address string) (*wirepb.StatusResponse, error) {
+			if s.logs[address] == nil {
+				return nil, errRefused
+			}
+			return &wirepb.StatusResponse{Node: s.names[address], Members: s.members}, nil
+		},
+		Events: func(_ context.Context, address string, q *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
+			if s.logs[address] == nil {
+				return nil, errRefused
+			}
+			return gather.Page(s.logs[address], q), nil
+		},
+	}
+}
+
+func ExampleCollector_Collect() {
+	s := newSystem()
+	s.add("a", "host-a:7001", 1, 2)
+	s.add("b", "host-b:7001", 1, 1)
+	s.know("c", "host-c:7001", 1)
+	r, err := s.collector().Collect(context.Background(), []string{"host-a:7001"})
+	for _, e := range r.Records {
+		fmt.Println(e.Node, e.Code)
+	}
+	fmt.Println(r.Notes, err)
+	// Output:
+	// b node-ready
+	// a node-ready
+	// [node c did not answer: connection refused] <nil>
+}
+
+// Guards against a time line without the members that only one of the peers
+// knows, and against a peer that is down and hides the others.
+func TestPeersAreJoined(t *testing.T) {
+	s := newSystem()
+	s.add("a", "a:1", 1, 0)
+	r, err := s.collector().Collect(t.Context(), []string{"x:1", "a:1"})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Answered, 1)
+	assert.DeepEqual(t, r.Notes, []string{"peer x:1 did not answer: connection refused"})
+	_, err = s.collector().Collect(t.Context(), []string{"x:1"})
+	assert.ErrorIs(t, err, gather.ErrNoPeer)
+}
+
+// Guards against the loss of events after the first page and against a
+// silent gap where the ring has overwritten records.
+func TestPagesAndLoss(t *testing.T) {
+	s := newSystem()
+	s.add("a", "a:1", 2700, 0)
+	r, err := s.collector().Collect(t.Context(), []string{"a:1"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Records), 2500)
+	assert.Equal(t, r.Records[0].Sequence, uint64(201))
+	assert.DeepEqual(t, r.Notes, []string{"node a has lost 200 older events"})
+}
+
+// Guards against a node that is reported as silent because one peer knows its
+// old address.
+func TestEveryAddressIsTried(t *testing.T) {
+	s := newSystem()
+	s.know("a", "old:1", 9)
+	s.add("a", "a:1", 3, 0)
+	r, err := s.collector().Collect(t.Context(), []string{"a:1"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Records), 3)
+	assert.Equal(t, len(r.Notes), 0)
+}
+
+// Guards against a list without end, and against the loss of the events that
+// were read before a node failed.
+func TestBrokenNode(t *testing.T) {
+	s := newSystem()
+	s.add("a", "a:1", 1, 0)
+	c := s.collector()
+	c.Events = func(context.Context, string, *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
+		return &wirepb.EventsResponse{Events: []*wirepb.Event{{Node: "a", Sequence: 1}}}, nil
+	}
+	r, err := c.Collect(t.Context(), []string{"a:1"})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Answered, 0)
+	assert.Equal(t, len(r.Records), 1)
+	assert.DeepEqual(t, r.Notes, []string{"node a stopped answering after 2 events: list of events does not end"})
+}
+
+// Guards against a collection that never ends because one node is frozen.
+func TestFrozenNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		s.add("a", "a:1", 1, 0)
+		s.add("b", "b:1", 1, 0)
+		c := s.collector()
+		answer := c.Events
+		c.Events = func(ctx context.Context, address string, q *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
+			if address == "b:1" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return answer(ctx, address, q)
+		}
+		begin := time.Now()
+		r, err := c.Collect(t.Context(), []string{"a:1"})
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begin), c.Timeout)
+		assert.Equal(t, len(r.Records), 1)
+		assert.DeepEqual(t, r.Notes, []string{"node b did not answer: context deadline exceeded"})
+	})
+}
+
+// Guards against a log file whose other lines hide the events or are hidden
+// themselves, and against fields that a message loses.
+func TestReadLog(t *testing.T) {
+	var b strings.Builder
+	l := event.New(event.Options{Node: "a", Start: 5, Output: event.Output(&b)})
+	l.Emit(event.StoreDown, event.F(event.Store, "table"), event.F(event.Error, "dial: refused"))
+	b.WriteString("panic: something else\n")
+	l.Emit(event.StoreUp)
+	got, other, err := gather.ReadLog(strings.NewReader(b.String()))
+	assert.NilError(t, err)
+	assert.Equal(t, other, 1)
+	want, _ := l.Since(0)
+	assert.DeepEqual(t, got, want)
+	for _, r := range want {
+		assert.DeepEqual(t, gather.FromWire(gather.ToWire(r)), r)
+	}
+}
