--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -92,6 +92,11 @@
 	assert.DeepEqual(t, r.Notes, []string{"peer x:1 did not answer: connection refused"})
 	_, err = s.collector().Collect(t.Context(), []string{"x:1"})
 	assert.ErrorIs(t, err, gather.ErrNoPeer)
+	s.add("b", "b:1", 1, 0)
+	s.members = nil // as after a start without contact to other nodes
+	r, err = s.collector().Collect(t.Context(), []string{"a:1", "b:1"})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Answered, 2)
 }
 
 // Guards against the loss of events after the first page and against a
@@ -106,6 +111,16 @@
 	assert.DeepEqual(t, r.Notes, []string{"node a has lost 200 older events"})
 }
 
+// Guards against a response that exceeds the size of one message.
+func TestPageIsBounded(t *testing.T) {
+	l := newSystem().add("a", "a:1", 2000, 0)
+	for most, want := range map[int32]int{3: 3, 0: 1000, 5000: 1000} {
+		r := gather.Page(l, &wirepb.EventsRequest{Since: 10, Most: most})
+		assert.Equal(t, len(r.GetEvents()), want)
+		assert.Equal(t, r.GetEvents()[0].GetSequence(), uint64(11))
+	}
+}
+
 // Guards against a node that is reported as silent because one peer knows its
 // old address.
 func TestEveryAddressIsTried(t *testing.T) {
@@ -162,7 +177,8 @@
 // themselves, and against fields that a message loses.
 func TestReadLog(t *testing.T) {
 	var b strings.Builder
-	l := event.New(event.Options{Node: "a", Start: 5, Output: event.Output(&b)})
+	still := func() time.Time { return time.Unix(1, 0) }
+	l := event.New(event.Options{Node: "a", Start: 5, Now: still, Output: event.Output(&b)})
 	l.Emit(event.StoreDown, event.F(event.Store, "table"), event.F(event.Error, "dial: refused"))
 	b.WriteString("panic: something else\n")
 	l.Emit(event.StoreUp)
