--- a/internal/super/super_test.go
+++ b/internal/super/super_test.go
@@ -138,18 +138,24 @@
 // Guards against a node that goes on without a part that can't work, and
 // against a lost cause.
 func TestGivesUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		j := &journal{t: t}
-		s := super.New(super.Options{Limit: 2, Window: time.Minute, Emit: j.emit, Children: []super.Child{
-			j.steady("a", 0), failing("b", time.Second, func() error { return errBroken }),
-		}})
-		<-s.Done()
-		assert.ErrorIs(t, s.Close(), errBroken)
-		assert.ErrorContains(t, s.Close(), "child b")
-		assert.Equal(t, j.has("child-gave-up b 3"), 1)
-		assert.Equal(t, j.has("child-started b "), 3)
-		assert.Equal(t, j.has("a closed"), 1)
-	})
+	for _, c := range []struct{ fail, want error }{
+		{errBroken, errBroken},
+		{nil, super.ErrEnded},
+		{context.Canceled, context.Canceled}, // of a context of its own
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			j := &journal{t: t}
+			s := super.New(super.Options{Limit: 2, Window: time.Minute, Emit: j.emit, Children: []super.Child{
+				j.steady("a", 0), failing("b", time.Second, func() error { return c.fail }),
+			}})
+			<-s.Done()
+			assert.ErrorIs(t, s.Close(), c.want)
+			assert.ErrorContains(t, s.Close(), "child b")
+			assert.Equal(t, j.has("child-gave-up b 3"), 1)
+			assert.Equal(t, j.has("child-started b "), 3)
+			assert.Equal(t, j.has("a closed"), 1)
+		})
+	}
 }
 
 // Guards against a supervisor that hangs while a child never becomes ready, and
