--- a/event/log.go
+++ b/event/log.go
@@ -49,6 +49,10 @@
 	return &Log{o: o, clock: Clock{Bound: o.Bound}, ring: make([]Record, o.Size)}
 }
 
+// Start returns the start identity that all records of this log carry. After a
+// restart it differs, and sequence numbers begin again.
+func (l *Log) Start() ident.Start { return l.o.Start }
+
 // Emit records an event and writes it to the output. Output runs under the
 // lock, so that lines are in the order of the sequence; it must not call Emit.
 func (l *Log) Emit(c Code, fields ...Field) {
--- /dev/null
+++ b/internal/admin/metrics.go
@@ -0,0 +1,179 @@
+package admin
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// quantiles are the parts of a distribution that are exposed.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// nanosPerSecond turns timers, which hold nanoseconds, into seconds, the base
+// unit of the format.
+const nanosPerSecond = 1e9
+
+// Label is one dimension of a metric.
+type Label struct {
+	Name  string
+	Value string
+}
+
+// MetricName builds the name under which a metric with labels is registered.
+// The registry knows no labels, so they are part of the name in the form of
+// the exposition format.
+func MetricName(name string, labels ...Label) string {
+	if len(labels) == 0 {
+		return name
+	}
+	parts := make([]string, len(labels))
+	for i, l := range labels {
+		parts[i] = clean(l.Name) + `="` + escape(l.Value) + `"`
+	}
+	return name + "{" + strings.Join(parts, ",") + "}"
+}
+
+// escape follows the rules of the exposition format for label values.
+func escape(v string) string {
+	return strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`).Replace(v)
+}
+
+// clean turns text into a valid metric or label name.
+func clean(name string) string {
+	valid := func(r rune) rune {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '_':
+			return r
+		}
+		return '_'
+	}
+	name = strings.Map(valid, name)
+	if name == "" || name[0] >= '0' && name[0] <= '9' {
+		return "_" + name
+	}
+	return name
+}
+
+// labelsPattern matches the labels of a name that MetricName has built.
+var labelsPattern = regexp.MustCompile(`^[a-zA-Z_][a-zA-Z0-9_]*="([^"\\\n]|\\.)*"(,[a-zA-Z_][a-zA-Z0-9_]*="([^"\\\n]|\\.)*")*$`)
+
+// split is the reverse of MetricName. A name of another origin is cleaned as a
+// whole, so that it can't make the page invalid.
+func split(full string) (name, labels string) {
+	name, labels, found := strings.Cut(full, "{")
+	labels, closed := strings.CutSuffix(labels, "}")
+	if found && (!closed || !labelsPattern.MatchString(labels)) {
+		return clean(full), ""
+	}
+	return clean(name), labels
+}
+
+// family is all metrics of one name. The format requires that they follow each
+// other below one TYPE line.
+type family struct {
+	name  string
+	kind  string
+	lines []string
+}
+
+// exposition writes a registry in the text format for Prometheus, version
+// 0.0.4.
+func exposition(r metrics.Registry) []byte {
+	all := map[string]any{}
+	r.Each(func(full string, m any) { all[full] = m })
+	families := map[string]*family{}
+	for _, full := range slices.Sorted(maps.Keys(all)) {
+		name, labels := split(full)
+		collect(families, name, labels, all[full])
+	}
+	var b bytes.Buffer
+	for _, n := range slices.Sorted(maps.Keys(families)) {
+		f := families[n]
+		slices.Sort(f.lines)
+		fmt.Fprintf(&b, "# TYPE %s %s\n", f.name, f.kind)
+		for _, l := range f.lines {
+			b.WriteString(l)
+		}
+	}
+	return b.Bytes()
+}
+
+// collect adds the lines of one metric. A metric of another kind than the rest
+// of its family is left out, because it would make the whole page invalid.
+// Summaries have no _sum: the registry keeps a sample of the values, so its sum
+// is not the total, and a mean calculated from it would be wrong.
+func collect(families map[string]*family, name, labels string, m any) {
+	add := func(name, kind, suffix, labels string, value float64) {
+		f := families[name]
+		if f == nil {
+			f = &family{name: name, kind: kind}
+			families[name] = f
+		}
+		if f.kind != kind {
+			return
+		}
+		f.lines = append(f.lines, line(name+suffix, labels, value))
+	}
+	switch t := m.(type) {
+	case metrics.Counter:
+		add(withSuffix(name, "_total"), "counter", "", labels, float64(t.Count()))
+	case metrics.Meter:
+		add(withSuffix(name, "_total"), "counter", "", labels, float64(t.Count()))
+	case metrics.Gauge:
+		add(name, "gauge", "", labels, float64(t.Value()))
+	case metrics.GaugeFloat64:
+		add(name, "gauge", "", labels, t.Value())
+	case metrics.Histogram:
+		s := t.Snapshot()
+		for i, v := range s.Percentiles(quantiles) {
+			add(name, "summary", "", quantile(labels, quantiles[i]), v)
+		}
+		add(name, "summary", "_count", labels, float64(s.Count()))
+	case metrics.Timer:
+		s := t.Snapshot()
+		name := withSuffix(name, "_seconds")
+		for i, v := range s.Percentiles(quantiles) {
+			add(name, "summary", "", quantile(labels, quantiles[i]), v/nanosPerSecond)
+		}
+		add(name, "summary", "_count", labels, float64(s.Count()))
+	}
+}
+
+func withSuffix(name, suffix string) string {
+	return strings.TrimSuffix(name, suffix) + suffix
+}
+
+func quantile(labels string, q float64) string {
+	own := `quantile="` + strconv.FormatFloat(q, 'g', -1, 64) + `"`
+	if labels == "" {
+		return own
+	}
+	return labels + "," + own
+}
+
+func line(name, labels string, v float64) string {
+	if labels != "" {
+		name += "{" + labels + "}"
+	}
+	return name + " " + number(v) + "\n"
+}
+
+// number writes a value as the format requires, also infinities.
+func number(v float64) string {
+	switch {
+	case math.IsInf(v, 1):
+		return "+Inf"
+	case math.IsInf(v, -1):
+		return "-Inf"
+	case math.IsNaN(v):
+		return "NaN"
+	}
+	return strconv.FormatFloat(v, 'g', -1, 64)
+}
