Bound the values of events and drop events below the level

Two faults seen in review: a value with bytes that aren't UTF-8, such as a caller's path, made the whole Events response fail to encode, and a burst of refused requests pushed all other events out of the ring. Values are now valid UTF-8 and at most 512 bytes, and events below the level get no sequence number.

A second ring for debug events was ruled out: its sequence numbers would have gaps in the log.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -128,8 +128,9 @@
 Each event has a number that never changes its meaning, a name, a level and
 fields. A log line holds, in logfmt: ` + "`time`, `logical`, `node`, `start`, `seq`, `level`, `code`, `event`" + `
 and then the fields. ` + "`time` and `logical`" + ` form the hybrid logical timestamp;
-` + "`seq`" + ` counts the events of one start without gaps, so a missing number is a
-lost line or an event below the log level. Durations have a unit.
+` + "`seq`" + ` counts the recorded events of one start without gaps, so a missing number is
+a lost line. Events below the level of the settings (` + "`log`" + `) are not recorded.
+Values are cut after 512 bytes. Durations have a unit.
 `
 
 // WriteCatalogue writes docs/events.md.
--- a/event/log.go
+++ b/event/log.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +13,10 @@
 // each it stays below 1 MB of the node's 128 MB.
 const defaultSize = 4096
 
+// maxValue bounds the value of a field in bytes, so that the ring and a message
+// with 1,000 records stay below 4 MiB.
+const maxValue = 512
+
 // Options configure a Log.
 type Options struct {
 	Node  ident.Node
@@ -19,7 +25,9 @@
 	Size int
 	// Bound is the largest accepted drift of observed timestamps.
 	Bound time.Duration
-	// Level is the lowest level that goes to Output. The ring keeps all.
+	// Level is the lowest level that is recorded. Events below it are dropped
+	// before they get a sequence number: a burst of refused requests would push
+	// all others out of the ring, and a gap in the log always means a lost line.
 	Level Level
 	// Now is the physical clock; nil means time.Now.
 	Now func() time.Time
@@ -56,6 +64,10 @@
 // Emit records an event and writes it to the output. Output runs under the
 // lock, so that lines are in the order of the sequence; it must not call Emit.
 func (l *Log) Emit(c Code, fields ...Field) {
+	if !l.Enabled(c) {
+		return
+	}
+	fields = bounded(fields)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.last++
@@ -68,12 +80,32 @@
 		Fields:   fields,
 	}
 	l.ring[l.last%uint64(len(l.ring))] = r
-	k, _ := Lookup(c)
-	if l.o.Output != nil && k.Level >= l.o.Level {
+	if l.o.Output != nil {
 		_ = l.o.Output(r.Keyvals()...)
 	}
 }
 
+// Enabled reports whether events of a code are recorded. Callers on the path of
+// a request ask it before they build fields.
+func (l *Log) Enabled(c Code) bool {
+	k, _ := Lookup(c)
+	return k.Level >= l.o.Level
+}
+
+// bounded returns a copy of the fields whose values are valid UTF-8 and at most
+// maxValue bytes long. Values may come from callers, as in a path, and a message
+// between nodes can't carry other text.
+func bounded(fields []Field) []Field {
+	kept := slices.Clone(fields)
+	for i, f := range kept {
+		if len(f.Value) > maxValue {
+			f.Value = f.Value[:maxValue]
+		}
+		kept[i].Value = strings.ToValidUTF8(f.Value, "")
+	}
+	return kept
+}
+
 // Observe moves the clock past a timestamp from another node, so that later
 // events of this node sort after it. It returns a DriftError if the timestamp
 // is too far ahead.
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"maps"
-	"math"
 	"regexp"
 	"slices"
 	"strconv"
@@ -162,18 +161,5 @@
 	if labels != "" {
 		name += "{" + labels + "}"
 	}
-	return name + " " + number(v) + "\n"
-}
-
-// number writes a value as the format requires, also infinities.
-func number(v float64) string {
-	switch {
-	case math.IsInf(v, 1):
-		return "+Inf"
-	case math.IsInf(v, -1):
-		return "-Inf"
-	case math.IsNaN(v):
-		return "NaN"
-	}
-	return strconv.FormatFloat(v, 'g', -1, 64)
+	return name + " " + strconv.FormatFloat(v, 'g', -1, 64) + "\n"
 }
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadahall/cicadahall/event"
@@ -191,3 +192,17 @@
 		assert.DeepEqual(t, gather.FromWire(gather.ToWire(r)), r)
 	}
 }
+
+// Guards against a page that no client accepts, because it exceeds 4 MiB or
+// holds text that a message can't carry.
+func TestLargestPageFits(t *testing.T) {
+	l := event.New(event.Options{Node: ident.Node(strings.Repeat("n", 63))})
+	long := strings.Repeat("x", 1000) + "\xff"
+	for range 1200 {
+		l.Emit(event.RequestUnknown, event.F(event.Request, long), event.F(event.Service, long), event.F(event.Route, long),
+			event.F(event.Caller, long), event.F(event.Peer, "\xff"+long), event.F(event.Reason, long))
+	}
+	b, err := proto.Marshal(gather.Page(l, &wirepb.EventsRequest{}))
+	assert.NilError(t, err)
+	assert.Assert(t, len(b) < 4<<20, "%d bytes", len(b))
+}
