--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,9 @@
 
 clean:
 	rm -rf bin out
+
+# long plays 100,000 random histories of the at-most-once protocol.
+LONG_CHECKS   ?= 100000
+
+long:
+	$(GO) test -count=1 ./internal/hist -run 'TestHistories$$' -v -timeout 1h $(RAPID_FLAGS) -rapid.checks=$(LONG_CHECKS)
