--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -91,7 +91,7 @@
 
 // late reports whether a ticket that starts after wait ends past its deadline.
 func (l *Limiter) late(t Ticket, wait time.Duration, now time.Time) bool {
-	return t.Deadline.Sub(now) < wait+time.Duration(l.pace.service)
+	return t.Deadline.Sub(now) <= wait+time.Duration(l.pace.service)
 }
 
 // wait estimates the time until a slot is free for a ticket with n ahead of it.
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -13,7 +13,8 @@
 	// clipping there lowers the mean of exponential times by 5 %.
 	baseCap = 3.0
 	// driftGain lets the normal service time follow a lasting change, 16 times
-	// slower than baseGain, because a slow spell must not become normal.
+	// slower than baseGain, because neither a slow spell nor the overload of a
+	// cold upstream must become normal.
 	driftGain = baseGain / 16
 
 	// The alarm is a sequential test (CUSUM) of the answer rate: normal against
@@ -33,6 +34,9 @@
 	// idleShare of the limit in use is low load: slow answers then aren't
 	// caused by load, so the upstream is cold.
 	idleShare = 0.5
+	// useGain averages the use over 32 normal service times, so that the
+	// requests that pile up before the alarm don't count as high load.
+	useGain = 1.0 / 32
 
 	// shedCut is what a shed leaves of the running requests as the new limit.
 	shedCut = 0.7
@@ -41,13 +45,22 @@
 
 	// Growth beyond the limit that is known to work goes in steps, each after
 	// a window of answers. Up to it, each answer of normal speed adds one.
-	windowMin   = 8
-	windowTurns = 2
+	// The mean of 16 exponential times varies by a quarter.
+	windowMin   = 16
+	windowTurns = 3
 	// growBelow and shrinkAbove are mean service times in normal ones.
-	growBelow   = 1.3
-	shrinkAbove = 1.7
+	growBelow   = 1.1
+	shrinkAbove = 1.35
+	// patienceMax bounds the factor by which windows lengthen. It doubles when
+	// the limit shrinks, because capacity then grows slower than the limit, and
+	// fades when it grows.
+	patienceMax  = 4
+	patienceFade = 0.8
 	// stepShare is the growth per window as a share of the limit.
 	stepShare = 1.0 / 8
+	// recovered is the growth after a cut which shows that a lower limit helps,
+	// so that a further alarm means missing capacity and not a slow spell.
+	recovered = 2.0
 	// slowAnswer in normal service times is an answer that shows no recovery.
 	slowAnswer = 2.0
 )
@@ -55,8 +68,10 @@
 // pace is the adaptive limit. Times are float64 nanoseconds.
 type pace struct {
 	limit float64
-	// known is the limit that worked before the latest cut.
+	// known is the limit that worked before the latest cut, and after the
+	// limit that the cut left.
 	known float64
+	after float64
 	// base is the normal service time, learned from answers, and service the
 	// recent one.
 	base    float64
@@ -68,6 +83,8 @@
 	count int
 	sum   float64
 	peak  int
+	// patience lengthens the window.
+	patience float64
 	// broken counts connection errors without an answer in between.
 	broken int
 	// use is the recent mean of the share of the limit in use.
@@ -75,6 +92,7 @@
 }
 
 func (p *pace) init(service time.Duration) {
+	p.patience = 1
 	p.base = float64(service)
 	p.service = p.base
 	if service > 0 {
@@ -87,7 +105,7 @@
 // cold forgets which limit worked.
 func (p *pace) cold() {
 	p.limit, p.known = floor, floor
-	p.alarm, p.broken = 0, 0
+	p.alarm, p.broken, p.patience = 0, 0, 1
 	p.reset()
 }
 
@@ -105,7 +123,7 @@
 		return
 	}
 	turn := float64(d) / p.base
-	share := min(1, turn)
+	share := min(1, turn*useGain)
 	p.use += share * (float64(running)/p.limit - p.use)
 	p.alarm += (1 - slowRate) * turn * float64(running)
 	if p.alarm > alarmLevel {
@@ -113,8 +131,9 @@
 	}
 }
 
-// cut lowers the limit after an alarm. A second alarm before recovery halves
-// what counts as known, so that a lasting slowness ends in a cold start.
+// cut lowers the limit after an alarm. An alarm during recovery halves what
+// counts as known if a lower limit had helped. If it hadn't, the upstream is
+// slow whatever the limit, and has its old capacity when the spell ends.
 func (p *pace) cut() {
 	p.alarm = 0
 	p.service = max(p.service, p.base/slowRate)
@@ -122,10 +141,11 @@
 		p.cold()
 		return
 	}
-	if p.limit < p.known {
-		p.known = max(floor, p.known/2)
+	if p.limit < p.known && p.limit > p.after+recovered {
+		p.known = max(floor, p.limit/2)
 	}
 	p.limit = max(floor, p.limit*alarmCut)
+	p.after = p.limit
 	p.reset()
 }
 
@@ -143,7 +163,7 @@
 		p.alarm = max(0, p.alarm-answerStep)
 	case Done:
 		p.alarm = max(0, p.alarm-answerStep)
-		p.learn(float64(d))
+		p.learn(float64(d), slots)
 		p.grow(float64(d), slots)
 	}
 }
@@ -161,7 +181,7 @@
 	}
 }
 
-func (p *pace) learn(d float64) {
+func (p *pace) learn(d, slots float64) {
 	p.answers++
 	if p.base == 0 {
 		p.base, p.service = d, d
@@ -169,7 +189,7 @@
 	}
 	p.service += meanGain * (d - p.service)
 	gain := max(baseGain, 1/float64(p.answers))
-	if p.limit < p.known || p.alarm > alarmLevel/2 {
+	if p.answers > settled && (p.limit < slots || p.alarm > alarmLevel/2) {
 		gain = driftGain
 	}
 	p.base += gain * (min(d, baseCap*p.base) - p.base)
@@ -189,16 +209,18 @@
 	}
 	p.count++
 	p.sum += d
-	if p.count < max(windowMin, int(windowTurns*p.limit)) {
+	if float64(p.count) < p.patience*max(windowMin, windowTurns*p.limit) {
 		return
 	}
 	mean := p.sum / float64(p.count) / p.base
 	step := max(1, p.limit*stepShare)
 	switch {
-	case mean > shrinkAbove:
+	case mean > shrinkAbove && p.limit > floor:
 		p.limit = max(floor, p.limit-step)
+		p.patience = min(2*p.patience, patienceMax)
 	case mean < growBelow && p.peak >= int(p.limit)-1:
 		p.limit = min(slots, p.limit+step)
+		p.patience = max(1, p.patience*patienceFade)
 	}
 	p.known = p.limit
 	p.reset()
