Add member: membership by probe and gossip as a pure machine

Cause: nodes need to know each other at a constant cost, without the table service, and across region partitions.

--- /dev/null
+++ b/internal/scale/membership.go
@@ -0,0 +1,187 @@
+package scale
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/member"
+)
+
+// Scenario is what happens while the cost is measured.
+type Scenario string
+
+const (
+	// Idle means that nothing changes.
+	Idle Scenario = "idle"
+	// Restarts means 220 announced restarts a day.
+	Restarts Scenario = "restarts"
+	// Changes means 1,300 configuration changes a day.
+	Changes Scenario = "changes"
+	// Heal means the minutes after a region partition of 10 minutes.
+	Heal Scenario = "heal"
+)
+
+// Scenarios lists all scenarios.
+var Scenarios = []Scenario{Idle, Restarts, Changes, Heal}
+
+const (
+	day           = 24 * time.Hour
+	restartPeriod = day / 220
+	changePeriod  = day / 1300
+	partition     = 10 * time.Minute
+	// settle is the time before measuring, for probes to find their rhythm.
+	settle = 30 * time.Second
+	// measured is the time over which the cost is measured.
+	measured = 10 * time.Minute
+	// downtime is how long a restart takes.
+	downtime = 5 * time.Second
+	// seed is the seed of the measured runs.
+	seed = 20261204
+)
+
+// Cost is the result of one measurement. Rates are means per node and second
+// unless they say otherwise; bytes include IP, UDP and HTTP headers.
+type Cost struct {
+	Size          int
+	Scenario      Scenario
+	Sent          float64 // messages
+	Received      float64 // messages
+	SentBytes     float64
+	ReceivedBytes float64
+	CallBytes     float64       // anti-entropy, part of both
+	PeakBytes     int           // sent and received, worst node and second
+	Worst         float64       // sent and received bytes per second of the worst node
+	Processor     float64       // share of one core
+	Heap          int           // bytes per node at the end
+	Settle        time.Duration // until all agree, after a heal or the last restart; 0 if not asked
+	False         int           // running members called unreachable by others
+}
+
+// String prints one line of the table in docs/membership.md.
+func (c Cost) String() string {
+	return fmt.Sprintf("%5d %-9s msgs %.2f/%.2f bytes %.0f/%.0f call %.0f worst %.0f peak %d cpu %.4f%% heap %d settle %v false %d",
+		c.Size, c.Scenario, c.Sent, c.Received, c.SentBytes, c.ReceivedBytes, c.CallBytes,
+		c.Worst, c.PeakBytes, 100*c.Processor, c.Heap, c.Settle.Round(time.Second), c.False)
+}
+
+// Membership measures the cost of membership at one size.
+func Membership(size int, s Scenario) Cost {
+	before := heapBytes()
+	n := NewNetwork(size, seed)
+	n.StartAll()
+	n.Run(settle)
+	cost := Cost{Size: size, Scenario: s}
+	switch s {
+	case Restarts:
+		n.restarts()
+	case Changes:
+		n.changes()
+	case Heal:
+		n.Faults.Cut = func(a, b *Host) bool { return a.Region() != b.Region() }
+		n.Run(partition)
+		n.Faults.Cut = nil
+	}
+	n.measure(&cost)
+	cost.Heap = (heapBytes() - before) / size
+	runtime.KeepAlive(n)
+	return cost
+}
+
+// restarts restarts one host after the other, with notice.
+func (n *Network) restarts() {
+	n.After(restartPeriod/4, func() {
+		h := n.Hosts[n.random.IntN(len(n.Hosts))]
+		h.Machine.Leave(n.Now())
+		n.After(2*time.Second, func() { n.Kill(h) })
+		n.After(2*time.Second+downtime, func() { n.Start(h) })
+		n.After(restartPeriod*3/4, n.restarts)
+	})
+}
+
+// changes publishes one configuration after the other at a random host.
+func (n *Network) changes() {
+	revision := ident.Revision(0)
+	var publish func()
+	publish = func() {
+		revision++
+		h := n.Hosts[n.random.IntN(len(n.Hosts))]
+		h.Machine.SetHead(member.Head{
+			Revision: revision,
+			Digest:   ident.Digest(fmt.Sprintf("%064x", revision)),
+			Change:   ident.Change(fmt.Sprintf("change-%020d", revision)),
+		})
+		n.After(changePeriod, publish)
+	}
+	n.After(changePeriod/2, publish)
+}
+
+// measure runs the measured time in steps of a second.
+func (n *Network) measure(c *Cost) {
+	began := n.Now()
+	start := make([]Traffic, len(n.Hosts))
+	last := make([]int, len(n.Hosts))
+	for i, h := range n.Hosts {
+		start[i] = h.Traffic
+		last[i] = h.Traffic.SentBytes + h.Traffic.ReceivedBytes
+		h.Observe = func(r member.Record) {
+			if r.State == member.Unreachable && n.host(r.Node).Up() {
+				c.False++
+			}
+		}
+	}
+	var processor time.Duration
+	for n.Now().Sub(began) < measured {
+		t := processorTime()
+		n.Run(time.Second)
+		processor += processorTime() - t
+		for i, h := range n.Hosts {
+			total := h.Traffic.SentBytes + h.Traffic.ReceivedBytes
+			c.PeakBytes = max(c.PeakBytes, total-last[i])
+			last[i] = total
+		}
+		if c.Scenario == Heal && c.Settle == 0 && n.Settled() {
+			c.Settle = n.Now().Sub(began)
+		}
+	}
+	seconds := measured.Seconds()
+	scale := seconds * float64(len(n.Hosts))
+	for i, h := range n.Hosts {
+		t, b := h.Traffic, start[i]
+		c.Sent += float64(t.Sent-b.Sent) / scale
+		c.Received += float64(t.Received-b.Received) / scale
+		c.SentBytes += float64(t.SentBytes-b.SentBytes) / scale
+		c.ReceivedBytes += float64(t.ReceivedBytes-b.ReceivedBytes) / scale
+		c.CallBytes += float64(t.CallBytes-b.CallBytes) / scale
+		c.Worst = max(c.Worst, float64(t.SentBytes+t.ReceivedBytes-b.SentBytes-b.ReceivedBytes)/seconds)
+	}
+	c.Processor = processor.Seconds() / scale
+}
+
+func (n *Network) host(node ident.Node) *Host {
+	for _, h := range n.Hosts {
+		if h.record.Node == node {
+			return h
+		}
+	}
+	return nil
+}
+
+// processorTime is the user and system time of this process, garbage
+// collection included.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heapBytes() int {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int(s.HeapAlloc)
+}
--- /dev/null
+++ b/member/chaos_test.go
@@ -0,0 +1,173 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/scale"
+	"github.com/cicadahall/cicadahall/member"
+)
+
+// chaos drives a network by random steps and checks after each of them.
+type chaos struct {
+	network *scale.Network
+	seen    map[[2]ident.Node]member.Record // last copy by observer and member
+	runs    map[ident.Node]ident.Start
+	dead    map[*scale.Host]bool
+}
+
+func newChaos(t *rapid.T) *chaos {
+	c := &chaos{
+		network: scale.NewNetwork(rapid.IntRange(3, 14).Draw(t, "size"), rapid.Uint64().Draw(t, "seed")),
+		seen:    map[[2]ident.Node]member.Record{},
+		runs:    map[ident.Node]ident.Start{},
+		dead:    map[*scale.Host]bool{},
+	}
+	c.network.StartAll()
+	return c
+}
+
+func (c *chaos) host(t *rapid.T) *scale.Host {
+	return c.network.Hosts[rapid.IntRange(0, len(c.network.Hosts)-1).Draw(t, "host")]
+}
+
+// steps are the actions of the state machine.
+func (c *chaos) steps() map[string]func(*rapid.T) {
+	n := c.network
+	wait := func(t *rapid.T) {
+		n.Run(time.Duration(rapid.IntRange(1, 15_000).Draw(t, "ms")) * time.Millisecond)
+	}
+	return map[string]func(*rapid.T){
+		"":      c.check,
+		"wait":  wait,
+		"wait2": wait,
+		"kill": func(t *rapid.T) {
+			h := c.host(t)
+			n.Kill(h)
+			c.dead[h] = true
+		},
+		"start": func(t *rapid.T) {
+			h := c.host(t)
+			n.Start(h)
+			delete(c.dead, h)
+		},
+		"freeze": func(t *rapid.T) { n.Freeze(c.host(t)) },
+		"resume": func(t *rapid.T) { n.Resume(c.host(t)) },
+		"leave":  func(t *rapid.T) { c.host(t).Machine.Leave(n.Now()) },
+		"update": func(t *rapid.T) {
+			h := c.host(t)
+			r := h.Machine.Self()
+			r.Slots = ident.Slots(rapid.Int32Range(0, 50).Draw(t, "slots"))
+			h.Machine.Update(r, n.Now())
+		},
+		"network": func(t *rapid.T) {
+			n.Faults = scale.Faults{
+				Loss:   rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss"),
+				Double: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "double"),
+				Late:   rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "late"),
+				Delay:  10 * time.Second,
+			}
+		},
+		"cut": func(t *rapid.T) {
+			lone := c.host(t)
+			regions := rapid.Bool().Draw(t, "regions")
+			n.Faults.Cut = func(a, b *scale.Host) bool {
+				if regions {
+					return a.Region() != b.Region()
+				}
+				return a == lone || b == lone
+			}
+		},
+	}
+}
+
+// check compares all copies with their owners and with earlier copies.
+func (c *chaos) check(t *rapid.T) {
+	for _, o := range c.network.Hosts {
+		self := o.Machine.Self()
+		fresh := c.runs[self.Node] != self.Start
+		c.runs[self.Node] = self.Start
+		for _, h := range c.network.Hosts {
+			own := h.Machine.Self()
+			r, ok := o.Machine.Lookup(own.Node)
+			key := [2]ident.Node{self.Node, own.Node}
+			if fresh {
+				delete(c.seen, key)
+			}
+			if !ok || h == o {
+				continue
+			}
+			if r.Start == own.Start {
+				assert.Assert(t, r.Incarnation <= own.Incarnation, "%s is ahead of %s", self.Node, own.Node)
+				if r.Incarnation == own.Incarnation {
+					assert.Equal(t, r.Slots, own.Slots)
+				}
+			}
+			last := c.seen[key]
+			last.State, r.State = 0, 0
+			assert.Assert(t, member.Compare(r, last) >= 0, "%s went back on %s", self.Node, own.Node)
+			c.seen[key] = r
+		}
+	}
+}
+
+// agreed tells whether all running hosts hold the same, true states.
+func (c *chaos) agreed() bool {
+	var hash uint64
+	for _, o := range c.network.Hosts {
+		if c.dead[o] {
+			continue
+		}
+		if hash == 0 {
+			hash = o.Machine.Digest().Hash
+		}
+		if o.Machine.Digest().Hash != hash {
+			return false
+		}
+		for h := range c.dead {
+			s := c.network.State(o, h)
+			if s != 0 && s != member.Unreachable && s != member.Left {
+				return false
+			}
+		}
+	}
+	return c.network.Settled()
+}
+
+// Guards against any order of kills, freezes, restarts, leaves, partitions and
+// packets lost, doubled, late and reordered, after which a copy is newer than
+// its owner, goes back, has mixed content, or after which the members don't
+// come to one true state.
+func TestChaos(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newChaos(t)
+		t.Repeat(c.steps())
+		n := c.network
+		n.Faults = scale.Faults{}
+		for i, h := range n.Hosts {
+			n.Resume(h)
+			if i < len(n.Seeds) && c.dead[h] {
+				n.Start(h)
+				delete(c.dead, h)
+			}
+		}
+		for range 15 * 60 {
+			if c.agreed() {
+				return
+			}
+			n.Run(time.Second)
+			c.check(t)
+		}
+		for _, h := range n.Hosts {
+			t.Logf("%s dead=%v", h.Node(), c.dead[h])
+			for _, r := range h.Machine.Members() {
+				t.Logf("    %s start %x incarnation %d %s", r.Node, uint64(r.Start)>>48, r.Incarnation, r.State)
+			}
+		}
+		t.Fatalf("no agreement after 15 minutes")
+	})
+}
--- /dev/null
+++ b/member/join_test.go
@@ -0,0 +1,161 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/scale"
+	"github.com/cicadahall/cicadahall/member"
+)
+
+// Guards against a system that can't start while the table service is down:
+// all nodes start together and know only three seeds.
+func TestJoinBySeedsOnly(t *testing.T) {
+	n := scale.NewNetwork(100, seed)
+	n.Faults.Loss = 0.05
+	for _, h := range n.Hosts {
+		n.Start(h)
+	}
+	t.Log(until(t, n, 3*time.Minute, n.Settled))
+}
+
+// Guards against one dead seed that keeps nodes from joining.
+func TestJoinWithDeadSeeds(t *testing.T) {
+	n := started(30)
+	n.Kill(n.Hosts[0])
+	n.Kill(n.Hosts[1])
+	h := n.Hosts[7]
+	n.Kill(h)
+	n.Run(time.Minute)
+	n.Start(h)
+	until(t, n, 10*time.Second, n.Settled)
+}
+
+// Guards against two groups that never meet, because each started and joined
+// within its own region while the regions had no contact.
+func TestGroupsThatNeverMetJoin(t *testing.T) {
+	n := scale.NewNetwork(42, seed)
+	n.Seeds = []string{recordUDP(n, 0), recordUDP(n, 5)}
+	n.Faults.Cut = func(a, b *scale.Host) bool { return a.Region() != b.Region() }
+	for _, h := range n.Hosts {
+		n.Start(h)
+	}
+	n.Run(time.Minute)
+	assert.Equal(t, n.State(n.Hosts[0], n.Hosts[5]), member.State(0))
+	n.Faults.Cut = nil
+	until(t, n, 3*time.Minute, n.Settled)
+}
+
+func recordUDP(n *scale.Network, i int) string {
+	probe := scale.NewNetwork(len(n.Hosts), seed)
+	probe.StartAll()
+	return probe.Hosts[i].Machine.Self().UDP
+}
+
+// Guards against a configuration head or a fault latch that stays unknown
+// somewhere for more than the 15 s and 2 s promised, and against adopted
+// revisions that go back.
+func TestHeadAndFaultReachAll(t *testing.T) {
+	n := started(300)
+	n.Faults.Loss = 0.1
+	publisher := n.Hosts[3].Machine
+	publisher.SetHead(member.Head{Revision: 4, Digest: "d4", Change: "c4"})
+	adopted := publisher.Self()
+	adopted.Revision = 4
+	publisher.Update(adopted, n.Now())
+	n.Run(time.Second)
+	n.Hosts[8].Machine.SetHead(member.Head{Revision: 3, Digest: "d3", Change: "c3"})
+	n.Hosts[9].Machine.SetFault("counter-v2")
+	heads, faults := 15*time.Second, 2*time.Second
+	until(t, n, faults, func() bool {
+		for _, h := range n.Hosts {
+			if len(h.Machine.Faults()) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	until(t, n, heads, func() bool {
+		for _, h := range n.Hosts {
+			if h.Machine.Head().Revision != 4 || h.Machine.Self().Revision != 4 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// solo returns a machine without a network that knows the given records.
+func solo(records ...member.Record) (*member.Machine, time.Time) {
+	now := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	m := member.New(member.Options{
+		Self:  member.Record{Node: "self", Start: 1, UDP: "10.0.0.1:1"},
+		Began: now,
+		Send:  func(string, member.Packet) {},
+		Rand:  func(int) int { return 0 },
+	})
+	m.Tick(now)
+	m.Merge(records, now)
+	return m, now
+}
+
+// Guards against unreachable members that are forgotten within a partition of
+// hours, and against memory that grows with each node that ever was.
+func TestUnreachableIsKeptForADay(t *testing.T) {
+	m, now := solo(member.Record{Node: "n", Start: 2, Incarnation: 1, State: member.Unreachable, UDP: "10.0.0.2:1"})
+	empty, _ := solo()
+	for range 23 * 3600 {
+		now = now.Add(time.Second)
+		m.Tick(now)
+	}
+	assert.Equal(t, len(m.Members()), 2)
+	for range 3700 {
+		now = now.Add(time.Second)
+		m.Tick(now)
+	}
+	assert.Equal(t, len(m.Members()), 1)
+	assert.Assert(t, m.Delta(empty.Digest()).Same)
+}
+
+// Guards against an address that passed to another node and answers for the
+// old one.
+func TestPingForAnotherNodeIsNotAnswered(t *testing.T) {
+	sent := 0
+	m := member.New(member.Options{
+		Self: member.Record{Node: "self", Start: 1, UDP: "10.0.0.1:1"},
+		Send: func(string, member.Packet) { sent++ },
+		Rand: func(int) int { return 0 },
+	})
+	m.Receive("10.0.0.2:1", member.Packet{Kind: member.Ping, Source: "n", Target: "other"}, time.Time{})
+	assert.Equal(t, sent, 0)
+	m.Receive("10.0.0.2:1", member.Packet{Kind: member.Ping, Source: "n", Target: "self"}, time.Time{})
+	assert.Equal(t, sent, 1)
+}
+
+// Guards against copies that depend on the order, number or path of records:
+// two machines that saw the same records hold the same states.
+func TestMergeIsOrderFree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one := rapid.Custom(func(t *rapid.T) member.Record {
+			inc := uint64(rapid.IntRange(1, 4).Draw(t, "incarnation"))
+			return member.Record{
+				Node:        ident.Node(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")),
+				Start:       ident.Start(rapid.IntRange(1, 3).Draw(t, "start")),
+				Incarnation: inc, Slots: ident.Slots(inc), UDP: "10.0.0.9:1",
+				State: rapid.SampledFrom([]member.State{member.Alive, member.Suspect, member.Leaving}).Draw(t, "state"),
+			}
+		})
+		records := rapid.SliceOf(one).Draw(t, "records")
+		a, now := solo(records...)
+		b, _ := solo()
+		for _, r := range rapid.Permutation(records).Draw(t, "order") {
+			b.Merge([]member.Record{r, r}, now)
+		}
+		assert.DeepEqual(t, a.Members(), b.Members())
+		assert.Assert(t, a.Delta(b.Digest()).Same)
+	})
+}
