--- a/internal/hist/entry.go
+++ b/internal/hist/entry.go
@@ -86,11 +86,8 @@
 	if t.settled || t.call.request.Told {
 		return
 	}
-	if e.pools[t.exit] == t.conn {
-		e.pools[t.exit] = &conn{exit: t.exit}
-	}
 	c := &conn{exit: t.exit}
-	if w.hit(w.options.Faults.Silent) {
+	if w.hit(w.options.Faults.SilentNew) {
 		c.silent = [2]bool{true, true}
 	}
 	m := e.message(t)
@@ -147,6 +144,9 @@
 	if t.settled || t.call.request.Told {
 		return
 	}
+	if r == retry.Silent && e.pools[t.exit] == t.conn {
+		e.pools[t.exit] = &conn{exit: t.exit}
+	}
 	a := t.call.plan.Next(o, r, t.call.request.Idempotent, e.world.now)
 	switch a.Kind {
 	case retry.Resolve:
--- a/internal/hist/hist_test.go
+++ b/internal/hist/hist_test.go
@@ -21,7 +21,7 @@
 		Skew: fence.ClockBound, Timeout: 1500 * time.Millisecond,
 		Faults: hist.Faults{
 			Lose: 50, Double: 150, Late: 100, Cross: 50, Cut: 50,
-			Refuse: 100, Shed: 50, Silent: 100,
+			Refuse: 100, Shed: 50, Silent: 100, SilentNew: 100,
 		},
 	}
 }
--- a/internal/hist/world.go
+++ b/internal/hist/world.go
@@ -23,6 +23,8 @@
 	Refuse, Shed int
 	// Silent makes a connection go silent for good while it carries a call.
 	Silent int
+	// SilentNew makes a new connection silent from its start.
+	SilentNew int
 }
 
 // Options configure a World.
