--- /dev/null
+++ b/work/report.go
@@ -0,0 +1,159 @@
+package work
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/store"
+)
+
+// Run identifies one start of a node.
+type Run struct {
+	Node  ident.Node
+	Start ident.Start
+}
+
+// GapKind tells what a report doesn't know.
+type GapKind string
+
+const (
+	// Open means that the last snapshot isn't final: the node was killed or is
+	// still running, and work after Gap.After isn't in the report.
+	Open GapKind = "open"
+	// Missing means that nothing is known of a start that is known to exist.
+	Missing GapKind = "missing"
+	// Unreadable means that a row of the table service can't be read.
+	Unreadable GapKind = "unreadable"
+)
+
+// Gap is a part of the work that a report doesn't contain.
+type Gap struct {
+	Kind  GapKind     `json:"kind"`
+	Node  ident.Node  `json:"node,omitempty"`
+	Start ident.Start `json:"start,omitempty"`
+	// After is the time from which work is missing, with Open.
+	After time.Time `json:"after,omitzero"`
+	// Row is the key of an Unreadable row.
+	Row string `json:"row,omitempty"`
+}
+
+// Report merges snapshots of any nodes. The order in which it is filled, and
+// repetitions, don't matter. The zero value is not usable; see NewReport.
+type Report struct {
+	latest     map[Run]Snapshot
+	expected   map[Run]bool
+	unreadable map[string]bool
+}
+
+// NewReport returns the merge of the snapshots.
+func NewReport(snapshots ...Snapshot) *Report {
+	r := &Report{latest: map[Run]Snapshot{}, expected: map[Run]bool{}, unreadable: map[string]bool{}}
+	for _, s := range snapshots {
+		r.Add(s)
+	}
+	return r
+}
+
+// Add merges one snapshot: of one node start, the latest sequence counts.
+func (r *Report) Add(s Snapshot) {
+	run := Run{Node: s.Node, Start: s.Start}
+	if old, ok := r.latest[run]; !ok || s.later(old) {
+		r.latest[run] = s
+	}
+}
+
+// Merge adds all that another report knows.
+func (r *Report) Merge(o *Report) {
+	for _, s := range o.latest {
+		r.Add(s)
+	}
+	for run := range o.expected {
+		r.Expect(run)
+	}
+	for key := range o.unreadable {
+		r.unreadable[key] = true
+	}
+}
+
+// AddRow merges a row of the table service. A row that can't be read becomes
+// a gap.
+func (r *Report) AddRow(row store.Row) {
+	s, err := Decode(row.Value)
+	if err != nil || s.RowKey() != row.Key {
+		r.unreadable[row.Key] = true
+		return
+	}
+	r.Add(s)
+}
+
+// Expect states that a node start exists, for example from membership.
+func (r *Report) Expect(run Run) {
+	r.expected[run] = true
+}
+
+// Read adds all rows of the table service.
+func (r *Report) Read(ctx context.Context, t store.Table) error {
+	rows, result := t.Scan(ctx, Prefix)
+	if !result.OK() {
+		return oops.In("work").With("outcome", result.Outcome.String()).Wrapf(result.Err, "read work rows")
+	}
+	for _, row := range rows {
+		r.AddRow(row)
+	}
+	return nil
+}
+
+// Rows returns the sums over all node starts, sorted by key.
+func (r *Report) Rows() []Row {
+	sums := map[Key]Counts{}
+	for _, s := range r.latest {
+		for _, row := range s.Rows {
+			sums[row.Key] = sums[row.Key].Plus(row.Counts)
+		}
+	}
+	rows := make([]Row, 0, len(sums))
+	for k, c := range sums {
+		rows = append(rows, Row{Key: k, Counts: c})
+	}
+	sortRows(rows)
+	return rows
+}
+
+// Snapshots returns the latest snapshot of each node start, sorted by node and start.
+func (r *Report) Snapshots() []Snapshot {
+	all := make([]Snapshot, 0, len(r.latest))
+	for _, s := range r.latest {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b Snapshot) int {
+		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Start, b.Start))
+	})
+	return all
+}
+
+// Gaps returns what the report doesn't contain, sorted by node, start and row.
+func (r *Report) Gaps() []Gap {
+	gaps := []Gap{}
+	for run, s := range r.latest {
+		if !s.Final {
+			gaps = append(gaps, Gap{Kind: Open, Node: run.Node, Start: run.Start, After: s.At})
+		}
+	}
+	for run := range r.expected {
+		if _, ok := r.latest[run]; !ok {
+			gaps = append(gaps, Gap{Kind: Missing, Node: run.Node, Start: run.Start})
+		}
+	}
+	for key := range r.unreadable {
+		gaps = append(gaps, Gap{Kind: Unreadable, Row: key})
+	}
+	slices.SortFunc(gaps, func(a, b Gap) int {
+		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Start, b.Start), cmp.Compare(a.Row, b.Row))
+	})
+	return gaps
+}
--- /dev/null
+++ b/work/snapshot.go
@@ -0,0 +1,169 @@
+package work
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/cicadahall/cicadahall/ident"
+)
+
+const (
+	// format is the version of the encoding.
+	format = 1
+	// Prefix is the prefix of the rows in the table service.
+	Prefix = "work/"
+	// maxRows and maxName bound what is accepted from others.
+	maxRows = 4096
+	maxName = 256
+	// rowFields is the number of fields of an encoded row.
+	rowFields = 10
+)
+
+// ErrSnapshot reports an encoded snapshot that is malformed, out of bounds or
+// of another format.
+var ErrSnapshot = errors.New("work snapshot is malformed or of an unknown format")
+
+// Row holds the counts of one key.
+type Row struct {
+	Key    Key
+	Counts Counts
+}
+
+// Snapshot holds the cumulative counts of one node start.
+type Snapshot struct {
+	Node     ident.Node
+	Start    ident.Start
+	Sequence uint64
+	// From is the time of the start, At the time of the snapshot.
+	From, At time.Time
+	// Final is set on the last snapshot of a planned shutdown.
+	Final bool
+	// Rows are sorted by key.
+	Rows []Row
+}
+
+// encoded is the JSON form of a snapshot. Rows are arrays: a node sends two
+// snapshots per second within a control budget of 5 KB/s.
+type encoded struct {
+	Format   int          `json:"format"`
+	Node     ident.Node   `json:"node"`
+	Start    ident.Start  `json:"start"`
+	Sequence uint64       `json:"sequence"`
+	From     time.Time    `json:"from"`
+	At       time.Time    `json:"at"`
+	Final    bool         `json:"final"`
+	Rows     []encodedRow `json:"rows"`
+}
+
+type encodedRow Row
+
+// MarshalJSON writes the fields of the row as an array.
+func (r encodedRow) MarshalJSON() ([]byte, error) {
+	return json.Marshal([rowFields]any{
+		r.Key.Service, r.Key.Version, r.Key.Route, r.Key.Caller,
+		r.Counts.Ran, r.Counts.Failed, r.Counts.Unknown, r.Counts.Refused,
+		int64(r.Counts.Busy), r.Counts.Bytes,
+	})
+}
+
+// UnmarshalJSON reads the array form and checks its bounds.
+func (r *encodedRow) UnmarshalJSON(b []byte) error {
+	var fields []json.RawMessage
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return err
+	}
+	to := [rowFields]any{
+		&r.Key.Service, &r.Key.Version, &r.Key.Route, &r.Key.Caller,
+		&r.Counts.Ran, &r.Counts.Failed, &r.Counts.Unknown, &r.Counts.Refused,
+		&r.Counts.Busy, &r.Counts.Bytes,
+	}
+	if len(fields) != rowFields {
+		return ErrSnapshot
+	}
+	for i, f := range fields {
+		if err := json.Unmarshal(f, to[i]); err != nil {
+			return err
+		}
+	}
+	k := r.Key
+	if r.Counts.Busy < 0 || max(len(k.Service), len(k.Version), len(k.Route), len(k.Caller)) > maxName {
+		return ErrSnapshot
+	}
+	return nil
+}
+
+// Encode returns the snapshot as JSON with a format version.
+func (s Snapshot) Encode() []byte {
+	e := encoded{
+		Format: format, Node: s.Node, Start: s.Start, Sequence: s.Sequence,
+		From: s.From, At: s.At, Final: s.Final, Rows: make([]encodedRow, len(s.Rows)),
+	}
+	for i, r := range s.Rows {
+		e.Rows[i] = encodedRow(r)
+	}
+	// Strings, numbers and times of the years 0 to 9999 always encode.
+	b, _ := json.Marshal(e)
+	return b
+}
+
+// Decode reads an encoded snapshot. An error wraps ErrSnapshot.
+func Decode(b []byte) (Snapshot, error) {
+	var e encoded
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&e); err != nil {
+		return Snapshot{}, oops.In("work").Wrapf(errors.Join(ErrSnapshot, err), "decode snapshot")
+	}
+	if d.More() || e.Format != format || e.Node == "" || e.Start == 0 || e.Sequence == 0 || len(e.Rows) > maxRows {
+		return Snapshot{}, oops.In("work").With("node", e.Node).Wrapf(ErrSnapshot, "decode snapshot of format %d", e.Format)
+	}
+	s := Snapshot{
+		Node: e.Node, Start: e.Start, Sequence: e.Sequence,
+		From: e.From, At: e.At, Final: e.Final, Rows: make([]Row, len(e.Rows)),
+	}
+	for i, r := range e.Rows {
+		s.Rows[i] = Row(r)
+	}
+	sortRows(s.Rows)
+	for i := 1; i < len(s.Rows); i++ {
+		if s.Rows[i-1].Key == s.Rows[i].Key {
+			return Snapshot{}, oops.In("work").With("node", e.Node).Wrapf(ErrSnapshot, "decode snapshot with a repeated key")
+		}
+	}
+	return s, nil
+}
+
+// RowKey returns the key of the snapshot's row in the table service.
+func (s Snapshot) RowKey() string {
+	return Prefix + url.PathEscape(string(s.Node)) + "/" + strconv.FormatUint(uint64(s.Start), 10)
+}
+
+// later reports whether s replaces o, which is of the same node start. With
+// the same sequence the choice is arbitrary, but the same in any order.
+func (s Snapshot) later(o Snapshot) bool {
+	if s.Sequence != o.Sequence {
+		return s.Sequence > o.Sequence
+	}
+	return bytes.Compare(s.Encode(), o.Encode()) > 0
+}
+
+func sortRows(rows []Row) {
+	slices.SortFunc(rows, func(a, b Row) int { return compareKeys(a.Key, b.Key) })
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.Route, b.Route),
+		cmp.Compare(a.Caller, b.Caller),
+	)
+}
--- /dev/null
+++ b/work/work_test.go
@@ -0,0 +1,245 @@
+package work_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/fakes"
+	"github.com/cicadahall/cicadahall/store"
+	"github.com/cicadahall/cicadahall/work"
+)
+
+var epoch = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func key(n int) work.Key {
+	return work.Key{Service: "counter", Version: "v1", Route: ident.Route(fmt.Sprintf("r%d", n)), Caller: "portal"}
+}
+
+func entry(n int) work.Entry {
+	return work.Entry{Key: key(n), Outcome: work.Ran, Busy: time.Millisecond, Bytes: 10}
+}
+
+func ledger(start ident.Start) *work.Ledger {
+	return work.NewLedger(work.Options{Node: "a", Start: start}, epoch)
+}
+
+// ran sums up the requests of all rows.
+func ran(rows []work.Row) (n uint64) {
+	for _, r := range rows {
+		n += r.Counts.Ran
+	}
+	return n
+}
+
+// Guards against a report that depends on the order of snapshots or on
+// repetitions, or that lets an earlier sequence win.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []work.Snapshot
+		want := uint64(0)
+		for start := range ident.Start(3) {
+			l := ledger(start + 1)
+			for range rapid.IntRange(0, 4).Draw(t, "snapshots") {
+				l.Record(entry(rapid.IntRange(0, 2).Draw(t, "key")))
+				want++
+				all = append(all, l.Snapshot(epoch.Add(time.Second)))
+			}
+		}
+		whole := work.NewReport(all...)
+		shuffled := rapid.Permutation(append(all, all...)).Draw(t, "order")
+		cut := rapid.IntRange(0, len(shuffled)).Draw(t, "cut")
+		left, right := work.NewReport(shuffled[:cut]...), work.NewReport(shuffled[cut:]...)
+		left.Merge(right)
+		left.Merge(right)
+		assert.DeepEqual(t, left.Rows(), whole.Rows())
+		assert.DeepEqual(t, left.Gaps(), whole.Gaps())
+		assert.Equal(t, ran(left.Rows()), want)
+	})
+}
+
+// Guards against two different snapshots with one sequence, which would make
+// a report depend on the order.
+func TestMergeSameSequence(t *testing.T) {
+	a, b := ledger(1), ledger(1)
+	b.Record(entry(1))
+	x, y := a.Snapshot(epoch), b.Snapshot(epoch)
+	assert.DeepEqual(t, work.NewReport(x, y).Rows(), work.NewReport(y, x).Rows())
+}
+
+// Guards against unbounded keys, against work that is dropped when there are
+// too many, and against the rest hidden under a regular key.
+func TestLedgerBoundsKeys(t *testing.T) {
+	l := work.NewLedger(work.Options{Node: "a", Start: 1, Keys: 4}, epoch)
+	for i := range 1000 {
+		e := entry(i)
+		e.Key.Version = ident.Version(fmt.Sprintf("v%d", i%50))
+		l.Record(e)
+	}
+	s := l.Snapshot(epoch)
+	assert.Assert(t, len(s.Rows) <= 4+16+1, "%d", len(s.Rows))
+	assert.Equal(t, ran(s.Rows), uint64(1000))
+	others := 0
+	for _, r := range s.Rows {
+		if r.Key.Route == work.Other {
+			others++
+		}
+	}
+	assert.Equal(t, others, len(s.Rows)-4)
+}
+
+// Guards against outcomes counted in the wrong column and negative times.
+func TestLedgerOutcomes(t *testing.T) {
+	l := ledger(1)
+	for i, o := range []work.Outcome{work.Ran, work.Failed, work.Failed, work.Unknown, work.Refused} {
+		l.Record(work.Entry{Key: key(1), Outcome: o, Busy: time.Duration(i-1) * time.Second, Bytes: 2})
+	}
+	want := work.Counts{Ran: 1, Failed: 2, Unknown: 1, Refused: 1, Busy: 6 * time.Second, Bytes: 10}
+	assert.DeepEqual(t, l.Snapshot(epoch).Rows, []work.Row{{Key: key(1), Counts: want}})
+	assert.Assert(t, !l.Changed())
+}
+
+// Guards against a report that passes over a killed start, a start without any
+// row, or a row that can't be read or lies under another node's key.
+func TestReportStatesGaps(t *testing.T) {
+	open, final := ledger(1).Snapshot(epoch.Add(time.Second)), ledger(2).Final(epoch)
+	r := work.NewReport(open, final)
+	for start := range ident.Start(3) {
+		r.Expect(work.Run{Node: "a", Start: start + 1})
+	}
+	r.AddRow(store.Row{Key: "work/a/4", Value: []byte("{")})
+	r.AddRow(store.Row{Key: "work/b/2", Value: final.Encode()})
+	assert.DeepEqual(t, r.Gaps(), []work.Gap{
+		{Kind: work.Unreadable, Row: "work/a/4"},
+		{Kind: work.Unreadable, Row: "work/b/2"},
+		{Kind: work.Open, Node: "a", Start: 1, After: epoch.Add(time.Second)},
+		{Kind: work.Missing, Node: "a", Start: 3},
+	})
+	b, err := json.Marshal(r)
+	assert.NilError(t, err)
+	want := `{"format":1,"runs":2,"rows":[],"gaps":[{"kind":"unreadable","row":"work/a/4"},` +
+		`{"kind":"unreadable","row":"work/b/2"},{"kind":"open","node":"a","start":1,"after":"2026-12-04T10:00:01Z"},` +
+		`{"kind":"missing","node":"a","start":3}]}`
+	assert.Equal(t, string(b), want)
+}
+
+// Guards against a snapshot that changes on its way, and against malformed
+// ones that are taken for work.
+func TestSnapshotEncoding(t *testing.T) {
+	l := ledger(1 << 63)
+	for i := range 15 {
+		l.Record(entry(i))
+	}
+	s := l.Snapshot(epoch)
+	got, err := work.Decode(s.Encode())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, s)
+	t.Logf("15 keys: %d bytes", len(s.Encode()))
+	head := `"node":"a","start":1,"sequence":1,"from":"2026-12-04T10:00:00Z","at":"2026-12-04T10:00:00Z","final":false,"rows":`
+	row := `["s","v","r","c",1,0,0,0,5,6]`
+	_, err = work.Decode([]byte(`{"format":1,` + head + `[` + row + `]}`))
+	assert.NilError(t, err)
+	for _, bad := range []string{
+		``, `{}`, `{"format":2,` + head + `[]}`, `{"format":1,"more":1,` + head + `[]}`,
+		`{"format":1,` + head + `[]}{}`,
+		`{"format":1,` + head + `[` + row + `,` + row + `]}`,
+		`{"format":1,` + head + `[["s","v","r","c",-1,0,0,0,5,6]]}`,
+		`{"format":1,` + head + `[["s","v","r","c",1,0,0,0,-5,6]]}`,
+		`{"format":1,` + head + `[["s","v","r","c",1,0,0,0,5]]}`,
+	} {
+		_, err := work.Decode([]byte(bad))
+		assert.ErrorIs(t, err, work.ErrSnapshot, bad)
+	}
+}
+
+// Guards against more than a second lost when a node is killed while the
+// store is down, if one snapshot to the peer is lost on the way.
+func TestKillLosesAtMostOneSecond(t *testing.T) {
+	s := fakes.NewStore()
+	s.SetFault(fakes.Always(fakes.Down))
+	peer := work.NewKeeper(work.KeeperOptions{Node: "b", Table: s.Table()}, epoch)
+	l := ledger(1)
+	now := epoch
+	const step = 10 * time.Millisecond
+	for ; now.Before(epoch.Add(89 * time.Second)); now = now.Add(step) {
+		l.Record(entry(1))
+		tick := now.Sub(epoch)
+		lost := tick == 88500*time.Millisecond
+		if tick%work.KeepEvery == 0 {
+			snapshot := l.Snapshot(now)
+			if !lost {
+				assert.NilError(t, peer.Keep(snapshot, now))
+			}
+		}
+	}
+	peer.Gone(work.Run{Node: "a", Start: 1})
+	assert.ErrorContains(t, peer.Write(context.Background(), now), "down")
+	s.SetFault(fakes.Always(fakes.None))
+	assert.NilError(t, peer.Write(context.Background(), now))
+	r := work.NewReport()
+	assert.NilError(t, r.Read(context.Background(), s.Table()))
+	lost := 8900 - ran(r.Rows())
+	assert.Assert(t, lost <= uint64(time.Second/step), "%d requests lost", lost)
+	assert.DeepEqual(t, r.Gaps(), []work.Gap{{Kind: work.Open, Node: "a", Start: 1, After: epoch.Add(88 * time.Second)}})
+	assert.Equal(t, len(peer.Held()), 0)
+}
+
+// Guards against a damaged or newer row that is overwritten, and against a
+// write that is due too early.
+func TestKeeperLeavesUnreadableRow(t *testing.T) {
+	s := fakes.NewStore()
+	s.Table().Commit(context.Background(), []store.Write{{Key: "work/a/1", Value: []byte(`{"format":2}`)}})
+	k := work.NewKeeper(work.KeeperOptions{Node: "a", Table: s.Table()}, epoch)
+	assert.Assert(t, !k.Due(epoch.Add(work.WriteEvery-1)) && k.Due(epoch.Add(work.WriteEvery)))
+	assert.NilError(t, k.Keep(ledger(1).Snapshot(epoch), epoch))
+	assert.ErrorIs(t, k.Write(context.Background(), epoch), work.ErrSnapshot)
+	row, _ := s.Table().Get(context.Background(), "work/a/1")
+	assert.Equal(t, string(row.Value), `{"format":2}`)
+}
+
+// Guards against a keeper that grows without bound, and against snapshots of
+// quiet peers that are held for good without being written.
+func TestKeeperBounds(t *testing.T) {
+	s := fakes.NewStore()
+	k := work.NewKeeper(work.KeeperOptions{Node: "b", Table: s.Table(), Peers: 1}, epoch)
+	other := work.NewLedger(work.Options{Node: "c", Start: 1}, epoch)
+	assert.NilError(t, k.Keep(ledger(1).Snapshot(epoch), epoch))
+	assert.ErrorIs(t, k.Keep(other.Snapshot(epoch), epoch), work.ErrKeeperFull)
+	assert.NilError(t, k.Write(context.Background(), epoch.Add(work.WriteEvery)))
+	assert.Equal(t, len(k.Held()), 1)
+	assert.NilError(t, k.Write(context.Background(), epoch.Add(2*work.WriteEvery)))
+	assert.Equal(t, len(k.Held()), 0)
+	row, _ := s.Table().Get(context.Background(), "work/a/1")
+	assert.Equal(t, row.Version, uint64(1))
+}
+
+func BenchmarkRecord(b *testing.B) {
+	b.ReportAllocs()
+	l := ledger(1)
+	entries := make([]work.Entry, 64)
+	for i := range entries {
+		entries[i] = entry(i)
+	}
+	i := 0
+	for b.Loop() {
+		l.Record(entries[i%len(entries)])
+		i++
+	}
+}
+
+func BenchmarkSnapshotEncode(b *testing.B) {
+	b.ReportAllocs()
+	l := ledger(1)
+	for i := range 15 {
+		l.Record(entry(i))
+	}
+	for b.Loop() {
+		l.Snapshot(epoch).Encode()
+	}
+}
