State the clock that a fence table needs

Cause: time never steps back in a table, so that a jump of the wall clock would make it refuse requests until the real time has caught up. Ruled out: following a clock that steps back, because an expired fence would let a late copy run (mutation fails in TestTableRunsOnce). Conclusion: the shell passes the wall time of the start plus monotonic time.

--- a/fence/spill.go
+++ b/fence/spill.go
@@ -8,7 +8,8 @@
 )
 
 // spillBits is the number of filter bits per fence of the table. With as many
-// overflowing ids as fences, about 5 % of the new requests are refused.
+// overflowing ids as fences, (1-exp(-2/8))^2, about 5 %, of the new requests
+// are refused in each generation.
 const spillBits = 8
 
 // spill remembers the ids that were refused or cancelled while the table was
--- a/fence/table.go
+++ b/fence/table.go
@@ -12,6 +12,10 @@
 // The deadline must be absolute and the same in every message about one
 // request. A deadline that the receiver computes from the time left moves with
 // the delay of the message, and a late copy would then outlive its fence.
+//
+// Time never steps back inside a table, so that a jump forward makes it refuse
+// requests until the real time has caught up. The shell therefore passes the
+// wall time of the process start plus the monotonic time since then.
 package fence
 
 import (
