--- a/Makefile
+++ b/Makefile
@@ -12,13 +12,17 @@
 OTHER_PKGS     = $(filter-out $(RAPID_PKGS),$(shell $(GO) list ./...))
 export CGO_ENABLED := 1
 
-.PHONY: build test unit lint generate check-generated demo measure capacity long clean
+.PHONY: build test unit check-linked lint generate check-generated demo measure capacity long clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-# test is what CI runs: formatter, linter, generated code in step, all tests.
-test: lint check-generated unit
+# test is what CI runs: formatter, linter, generated code in step, the binary's
+# linkage, all tests.
+test: lint check-generated check-linked unit
+
+check-linked: build
+	@ldd bin/cicadahall | grep -q 'libc\.so' || (echo "bin/cicadahall is not linked to the C library"; exit 1)
 
 unit: build
 	$(GO) vet ./...
@@ -31,6 +35,10 @@
 $(BUF):
 	$(GO) install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
 
+# demo starts a whole system on loopback and checks its promises.
+demo: build
+	bin/demo
+
 lint: $(LINT)
 	$(LINT) fmt --diff
 	$(LINT) run ./...
--- a/internal/cmd/verbs/apply.go
+++ b/internal/cmd/verbs/apply.go
@@ -52,6 +52,8 @@
 	InForce  int            `json:"inforce"`
 	Nodes    int            `json:"nodes"`
 	Error    string         `json:"error,omitempty"`
+
+	digest ident.Digest
 }
 
 // Execute publishes a manifest and waits until it is in force.
@@ -96,7 +98,7 @@
 		return applied{Outcome: config.Nothing.String(), Change: change}, exitFailed, err
 	}
 	head, o, err := p.Apply(ctx, change, seen, body)
-	a := applied{Outcome: o.String(), Revision: head.Revision, Change: change}
+	a := applied{Outcome: o.String(), Revision: head.Revision, Change: change, digest: head.Digest}
 	switch o {
 	case config.Accepted:
 		return a, exitDone, nil
@@ -129,9 +131,10 @@
 	pool := peer.NewPool(peer.Options{Body: statusBody})
 	defer pool.Close()
 	end := time.Now().Add(v.Wait)
+	v.tell(pool, a)
 	for {
 		if s, err := askStatus(pool, v.Peer); err == nil {
-			v.count(a, s)
+			v.count(a, pool, s)
 		}
 		if a.Nodes > 0 && a.InForce == a.Nodes {
 			return exitDone, nil
@@ -143,6 +146,15 @@
 	}
 }
 
+// tell hands the accepted head to the node, so that gossip starts at once. A
+// node that misses it reads the head from the store within seconds.
+func (v *applyVerb) tell(pool *peer.Pool, a *applied) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	head := &wirepb.Head{Revision: uint64(a.Revision), Digest: string(a.digest), Change: string(a.Change)}
+	_, _ = pool.Client(v.Peer).Share(ctx, &wirepb.ShareRequest{Head: head})
+}
+
 func askStatus(pool *peer.Pool, address string) (*wirepb.StatusResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
@@ -154,8 +166,8 @@
 }
 
 // count updates the result and shows progress when the count changes.
-func (v *applyVerb) count(a *applied, s *wirepb.StatusResponse) {
-	force, nodes := inForce(s, a.Revision)
+func (v *applyVerb) count(a *applied, pool *peer.Pool, s *wirepb.StatusResponse) {
+	force, nodes := inForce(pool, s, a.Revision)
 	if force != a.InForce || nodes != a.Nodes {
 		fmt.Fprintf(v.s.err, "revision %d in force at %d of %d nodes\n", a.Revision, force, nodes)
 	}
--- a/internal/cmd/verbs/node.go
+++ b/internal/cmd/verbs/node.go
@@ -30,7 +30,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	n, err := node.New(s, event.Output(v.s.out))
+	n, err := node.New(node.Options{Settings: s, Output: event.Output(v.s.out), Version: Number})
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/verbs/verbs.go
+++ b/internal/cmd/verbs/verbs.go
@@ -62,6 +62,8 @@
 		{"node", "run a node", "Runs a node beside an upstream until SIGTERM, which drains it.\n\nExample: cicadahall node /etc/cicadahall/node.json", &nodeVerb{s: s}},
 		{"apply", "publish a manifest", "Checks and publishes a manifest and waits until it is in force.\n\nExample: cicadahall apply --table http://10.0.0.5:7100 --objects http://10.0.0.5:7101 --peer 10.0.1.1:7001 manifest.json", &applyVerb{s: s}},
 		{"check", "check manifests and settings", checkHelp, &checkVerb{s: s}},
+		{"report", "show the work of all services", reportHelp, &reportVerb{s: s}},
+		{"status", "show the state of the system", statusHelp, &statusVerb{s: s}},
 		{"timeline", "merge the events of all nodes", timelineHelp, &timelineVerb{s: s}},
 		{"version", "print the version", "Prints the version of this binary.\n\nExample: cicadahall version", &versionVerb{s: s}},
 	}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,388 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cicadahall/cicadahall/internal/call"
+)
+
+// Options configure a run of the demo.
+type Options struct {
+	// Bin is the directory of the programs.
+	Bin string
+	// Dir receives settings, logs and the time line.
+	Dir string
+	// Rate is the number of requests per second.
+	Rate int
+	Seed uint64
+	Out  io.Writer
+}
+
+// Result is what the demo has observed.
+type Result struct {
+	Totals
+	// Twice counts orders that ran more than once and must not.
+	Twice int `json:"twice"`
+	// False counts orders reported as not run that ran.
+	False int `json:"false"`
+	// Cut counts requests without an HTTP answer while no node was killed.
+	Cut int `json:"cut"`
+	// Late counts executions in the domain that was out, 2 s after its removal.
+	Late int `json:"late"`
+	// Outcome is that of the version move.
+	Outcome string `json:"outcome"`
+	// Left counts processes that had to be killed at the end.
+	Left int `json:"left"`
+	// P50 and P99 are latencies of answers that ran.
+	P50 time.Duration `json:"p50"`
+	P99 time.Duration `json:"p99"`
+	// Violations lists the promises that didn't hold.
+	Violations []string `json:"violations"`
+}
+
+const (
+	// domainGrace is the time after which a domain that is out gets no work.
+	domainGrace = 2 * time.Second
+	// domainWatch is how long the domain is then observed.
+	domainWatch = 2 * time.Second
+	// calm is the length of phases that only watch.
+	calm = 2 * time.Second
+	// moveTime is the time from the start of the move to its deadline.
+	moveTime = 28 * time.Second
+	// killWait is how long callers go on after an instance was killed.
+	killWait = 3 * time.Second
+	// outDomain is the failure domain that is taken out and back.
+	outDomain = "mvd-b"
+)
+
+// scenario is one run of the demo.
+type scenario struct {
+	o    Options
+	s    *system
+	l    *load
+	m    manifest
+	r    Result
+	ctx  context.Context
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Run starts the system, takes it through all steps and stops it.
+func Run(ctx context.Context, o Options) (Result, error) {
+	c := &scenario{o: o, s: newSystem(o.Dir, o.Bin), done: make(chan struct{})}
+	c.ctx, c.stop = context.WithCancel(ctx)
+	defer c.stop()
+	err := c.steps()
+	c.stop()
+	c.r.Left += c.s.all.killAll()
+	if err != nil {
+		return c.r, err
+	}
+	c.judge()
+	return c.r, nil
+}
+
+func (c *scenario) steps() error {
+	steps := []struct {
+		text string
+		do   func() error
+	}{
+		{"start the platform, 12 instances and 4 of the next version", c.startAll},
+		{"publish the manifest", c.publish},
+		{"send load", c.startLoad},
+		{"take failure domain " + outDomain + " out", c.domainOut},
+		{"bring failure domain " + outDomain + " back", c.domainBack},
+		{"move counter from v1 to v2", c.move},
+		{"drain an instance", c.drainOne},
+		{"kill an instance", c.killOne},
+		{"stop the load and collect the time line", c.collect},
+		{"stop everything", c.stopAll},
+	}
+	began := time.Now()
+	for _, s := range steps {
+		fmt.Fprintf(c.o.Out, "%5.1fs  %s\n", time.Since(began).Seconds(), s.text)
+		if err := s.do(); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(c.o.Out, "%5.1fs  done\n", time.Since(began).Seconds())
+	return nil
+}
+
+func (c *scenario) startAll() error {
+	if err := c.s.startPlatform(); err != nil {
+		return err
+	}
+	add := func(service, version string, count int) error {
+		for i := range count {
+			w := &worker{
+				name:    fmt.Sprintf("%s-%s-%d", service, version, i+1),
+				service: service,
+				version: version,
+				domain:  regionDomains[i%len(regionDomains)],
+				slots:   10,
+			}
+			if err := c.s.startWorker(w); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	for _, f := range []func() error{
+		func() error { return add("counter", "v1", 8) },
+		func() error { return add("workshop", "v1", 4) },
+		func() error { return add("counter", "v2", 4) },
+	} {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *scenario) publish() error {
+	c.m = firstManifest()
+	if err := c.apply(); err != nil {
+		return err
+	}
+	limit, cancel := context.WithTimeout(c.ctx, readyLimit)
+	defer cancel()
+	return c.s.ready(limit)
+}
+
+// readyLimit bounds the wait for all nodes; it is far above what they need.
+const readyLimit = 30 * time.Second
+
+func (c *scenario) apply() error {
+	path, err := c.s.writeJSON("manifest.json", c.m)
+	if err != nil {
+		return err
+	}
+	out, err := c.s.command(c.ctx, "apply",
+		"--table", "http://"+c.s.table, "--objects", "http://"+c.s.objects,
+		"--peer", c.s.workers[0].peers, path)
+	if err != nil {
+		return err
+	}
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	fmt.Fprintf(c.o.Out, "        %s\n", lines[len(lines)-1])
+	return nil
+}
+
+func (c *scenario) startLoad() error {
+	c.l = newLoad(c.o.Seed, c.s.entries())
+	go func() {
+		defer close(c.done)
+		c.l.run(c.ctx, c.o.Rate)
+	}()
+	c.pause(calm)
+	return nil
+}
+
+func (c *scenario) domainOut() error {
+	c.m.setDomain(outDomain, "out")
+	if err := c.apply(); err != nil {
+		return err
+	}
+	c.pause(domainGrace)
+	before, err := c.s.runsIn(outDomain)
+	if err != nil {
+		return err
+	}
+	c.pause(domainWatch)
+	after, err := c.s.runsIn(outDomain)
+	c.r.Late = after - before
+	return err
+}
+
+func (c *scenario) domainBack() error {
+	c.m.setDomain(outDomain, "in")
+	if err := c.apply(); err != nil {
+		return err
+	}
+	c.pause(calm)
+	return nil
+}
+
+func (c *scenario) move() error {
+	c.m.addMove(time.Now().UTC(), moveTime)
+	if err := c.apply(); err != nil {
+		return err
+	}
+	out, err := c.s.command(c.ctx, "status", "--peer", c.s.workers[0].peers,
+		"--wait", moveName, "--limit", (moveTime + readyLimit).String(), "--output", "json")
+	if err != nil {
+		return err
+	}
+	c.r.Outcome = outcomeOf(out)
+	fmt.Fprintf(c.o.Out, "        move %s: %s\n", moveName, c.r.Outcome)
+	return nil
+}
+
+// outcomeOf reads the outcome of the move from the last line of status.
+func outcomeOf(out string) string {
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	var s struct {
+		Moves []struct {
+			Name    string `json:"name"`
+			Outcome string `json:"outcome"`
+		} `json:"moves"`
+	}
+	if json.Unmarshal([]byte(lines[len(lines)-1]), &s) != nil {
+		return ""
+	}
+	for _, m := range s.Moves {
+		if m.Name == moveName {
+			return m.Outcome
+		}
+	}
+	return ""
+}
+
+// drainOne stops one instance as an operator would: the upstream drains, then
+// the node. Callers stop using the node first, as their balancer would.
+func (c *scenario) drainOne() error {
+	w := c.s.workers[8]
+	c.l.setEntries(without(c.s.entries(), w.callers))
+	c.pause(calm)
+	if !w.upstream.stop() || !w.node.stop() {
+		c.r.Violations = append(c.r.Violations, "a planned stop did not end cleanly")
+	}
+	c.pause(calm)
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.r.Cut = c.l.totals.Broken
+	return nil
+}
+
+func without(list []string, x string) []string {
+	var out []string
+	for _, s := range list {
+		if s != x {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// killOne ends an instance without notice. Its callers' connections break:
+// their requests are unknown.
+func (c *scenario) killOne() error {
+	w := c.s.workers[9]
+	w.kill()
+	c.l.setEntries(c.s.entries())
+	c.pause(killWait)
+	return nil
+}
+
+func (c *scenario) collect() error {
+	c.stop()
+	<-c.done
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	page := filepath.Join(c.o.Dir, "timeline.html")
+	_, err := c.s.command(ctx, "timeline", "--peer", c.s.workers[0].peers, "--format", "html", "--out", page)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.o.Out, "        time line: %s\n", page)
+	out, err := c.s.command(ctx, "report", "--table", "http://"+c.s.table, "--peer", c.s.workers[0].peers)
+	fmt.Fprint(c.o.Out, indent(out))
+	return err
+}
+
+func indent(text string) string {
+	return "        " + strings.ReplaceAll(strings.TrimSpace(text), "\n", "\n        ") + "\n"
+}
+
+// stopAll stops all instances at the same time, upstreams before their nodes.
+func (c *scenario) stopAll() error {
+	var stops sync.WaitGroup
+	clean := make([]bool, len(c.s.workers))
+	for i, w := range c.s.workers {
+		stops.Go(func() {
+			clean[i] = w.upstream.stopIfRunning() && w.node.stopIfRunning()
+		})
+	}
+	stops.Wait()
+	for i, w := range c.s.workers {
+		c.violate(!clean[i], "instance %s did not stop cleanly", w.name)
+	}
+	c.s.all.stopAll()
+	return nil
+}
+
+func (c *scenario) pause(d time.Duration) {
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// judge compares what callers were told with what upstreams executed.
+func (c *scenario) judge() {
+	c.r.Totals = c.l.totals
+	c.l.printNotes(c.o.Out)
+	c.r.P50 = time.Duration(c.l.latency.ValueAtQuantile(50)) * time.Microsecond
+	c.r.P99 = time.Duration(c.l.latency.ValueAtQuantile(99)) * time.Microsecond
+	runs := c.s.journal()
+	missing := 0
+	for order, f := range c.l.fates {
+		n := runs[order]
+		if f.once && n > 1 {
+			c.r.Twice++
+		}
+		if f.outcome == call.NotRun && n > 0 {
+			c.r.False++
+		}
+		if f.outcome == call.Ran && n == 0 {
+			missing++
+		}
+	}
+	c.violate(c.r.Twice > 0, "%d orders that must not run twice did", c.r.Twice)
+	c.violate(c.r.False > 0, "%d orders were reported as not run, but ran", c.r.False)
+	c.violate(missing > 0, "%d orders were reported as run, but no upstream ran them", missing)
+	c.violate(c.r.Wrong > 0, "%d answers were not whole or belonged to another request", c.r.Wrong)
+	c.violate(c.r.Cut > 0, "%d requests were cut before any instance was killed", c.r.Cut)
+	c.violate(c.r.Late > 0, "%d requests ran in a failure domain that was out", c.r.Late)
+	c.violate(c.r.Outcome != "done", "the move of a good version ended as %q", c.r.Outcome)
+	c.violate(c.r.Left > 0, "%d processes had to be killed", c.r.Left)
+}
+
+func (c *scenario) violate(broken bool, format string, args ...any) {
+	if broken {
+		c.r.Violations = append(c.r.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// printNotes lists how often each kind of failure was reported to callers.
+func (l *load) printNotes(w io.Writer) {
+	for _, n := range sorted(l.notes) {
+		fmt.Fprintf(w, "        %6d  %s\n", l.notes[n], n)
+	}
+}
+
+// Print writes the result as a table.
+func (r Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "\nsent %d, answered %d, failed %d, not run %d, unknown %d, broken %d\n",
+		r.Sent, r.Ran, r.Failed, r.NotRun, r.Unknown, r.Broken)
+	fmt.Fprintf(w, "run twice %d, false not run %d, wrong answers %d, cut %d, late in domain %d\n",
+		r.Twice, r.False, r.Wrong, r.Cut, r.Late)
+	fmt.Fprintf(w, "move %s: %s; latency p50 %v, p99 %v; processes left %d\n", moveName, r.Outcome, r.P50, r.P99, r.Left)
+	for _, v := range r.Violations {
+		fmt.Fprintln(w, "VIOLATED:", v)
+	}
+}
+
+// WorkDir makes a directory for one run.
+func WorkDir() (string, error) {
+	return os.MkdirTemp("", "cicadahall-demo-")
+}
--- /dev/null
+++ b/internal/demo/load.go
@@ -0,0 +1,195 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/stand"
+)
+
+// kind is one kind of request that the load consists of.
+type kind struct {
+	name    string
+	service string
+	method  string
+	path    string
+	share   float64
+}
+
+// kinds are the requests of the magic shop: mostly browsing, some bookings
+// and commissions that must not run twice, some calls two levels deep.
+var kinds = []kind{
+	{name: "browse", service: "counter", method: http.MethodGet, path: "/browse", share: 0.5},
+	{name: "lesson", service: "counter", method: http.MethodPost, path: "/lessons", share: 0.2},
+	{name: "commission", service: "workshop", method: http.MethodPost, path: "/commissions", share: 0.15},
+	{name: "confirm", service: "counter", method: http.MethodGet, path: "/confirm", share: 0.15},
+}
+
+// Totals are the callers' view of all requests of one run.
+type Totals struct {
+	Sent    int `json:"sent"`
+	Ran     int `json:"ran"`
+	Failed  int `json:"failed"`
+	NotRun  int `json:"notrun"`
+	Unknown int `json:"unknown"`
+	// Wrong counts answers that belong to another request or aren't whole.
+	Wrong int `json:"wrong"`
+	// Broken counts connections that ended without an HTTP answer.
+	Broken int `json:"broken"`
+}
+
+// fate is what the caller of one order was told.
+type fate struct {
+	outcome call.Outcome
+	once    bool
+}
+
+const (
+	// clientTimeout is the deadline that callers pass, in the form of the header.
+	clientTimeout = "3s"
+	// clientLimit is above clientTimeout, so that the system answers first.
+	clientLimit = 5 * time.Second
+	// slowest is the largest latency that the histogram resolves.
+	slowest = int64(clientLimit / time.Microsecond)
+)
+
+// load sends requests at a constant rate, whatever the answers do.
+type load struct {
+	client *http.Client
+
+	mu      sync.Mutex
+	entries []string
+	rand    *rand.Rand
+	totals  Totals
+	fates   map[string]fate
+	latency *hdrhistogram.Histogram
+	notes   map[string]int
+	sent    sync.WaitGroup
+}
+
+func newLoad(seed uint64, entries []string) *load {
+	return &load{
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: clientLimit},
+		entries: entries,
+		rand:    rand.New(rand.NewPCG(seed, 1)),
+		fates:   map[string]fate{},
+		latency: hdrhistogram.New(1, slowest, 3),
+		notes:   map[string]int{},
+	}
+}
+
+// setEntries replaces the nodes that callers use.
+func (l *load) setEntries(entries []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = entries
+}
+
+// run sends rate requests a second until ctx ends and waits for the answers.
+func (l *load) run(ctx context.Context, rate int) {
+	t := time.NewTicker(time.Second / time.Duration(rate))
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			l.sent.Wait()
+			return
+		case <-t.C:
+			k, entry := l.draw()
+			l.sent.Add(1)
+			go func() {
+				defer l.sent.Done()
+				l.send(k, entry, fmt.Sprintf("%s-%06d", k.name, n))
+			}()
+		}
+	}
+}
+
+func (l *load) draw() (kind, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.totals.Sent++
+	entry := l.entries[l.rand.IntN(len(l.entries))]
+	x := l.rand.Float64()
+	for _, k := range kinds {
+		if x < k.share {
+			return k, entry
+		}
+		x -= k.share
+	}
+	return kinds[0], entry
+}
+
+func (l *load) send(k kind, entry, order string) {
+	req, err := http.NewRequest(k.method, "http://"+entry+k.path, strings.NewReader(body(k, order)))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set(call.HeaderService, k.service)
+	req.Header.Set(call.HeaderTimeout, clientTimeout)
+	req.Header.Set(stand.HeaderOrder, order)
+	began := time.Now()
+	resp, err := l.client.Do(req)
+	if err != nil {
+		l.broken(order, k, err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	l.record(k, order, resp, string(answer), err, time.Since(began))
+}
+
+func body(k kind, order string) string {
+	if k.method == http.MethodGet {
+		return ""
+	}
+	return "order " + order
+}
+
+func (l *load) broken(order string, k kind, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.totals.Broken++
+	l.notes["broken connection: "+errorKind(err)]++
+	l.fates[order] = fate{outcome: call.Unknown, once: k.method == http.MethodPost}
+}
+
+// errorKind shortens an error to its last part, which tells the kind.
+func errorKind(err error) string {
+	text := err.Error()
+	return strings.TrimSpace(text[strings.LastIndex(text, ":")+1:])
+}
+
+func (l *load) record(k kind, order string, resp *http.Response, answer string, err error, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := call.Outcome(resp.Header.Get(call.HeaderOutcome))
+	l.fates[order] = fate{outcome: o, once: k.method == http.MethodPost}
+	switch {
+	case o == call.Ran && resp.StatusCode != http.StatusOK:
+		l.totals.Failed++
+		l.notes[fmt.Sprintf("%s: status %d", k.name, resp.StatusCode)]++
+	case o == call.Ran:
+		l.totals.Ran++
+		_ = l.latency.RecordValue(min(slowest, took.Microseconds()))
+	case o == call.NotRun:
+		l.totals.NotRun++
+		l.notes["not run: "+resp.Header.Get(call.HeaderReason)]++
+	default:
+		l.totals.Unknown++
+		l.notes["unknown: "+resp.Header.Get(call.HeaderReason)]++
+	}
+	whole := strings.HasSuffix(answer, "\n") && strings.Contains(answer, " "+k.path+" "+order)
+	if o == call.Ran && resp.StatusCode == http.StatusOK && (err != nil || !whole) {
+		l.totals.Wrong++
+	}
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -376,8 +376,8 @@
 	var released atomic.Bool
 	drained := make(chan bool, 1)
 	go func() {
-		err := a.exit.Drain(context.Background())
-		drained <- err == nil && released.Load()
+		cut := a.exit.Drain(context.Background())
+		drained <- cut == 0 && released.Load()
 	}()
 	for range 20 {
 		assert.Equal(t, n.send(http.MethodPost).outcome, call.Ran)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -63,7 +64,10 @@
 	copies, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := p.run(copies)
-	if a.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN {
+	// Nobody waits for the answer of a request that its caller has aborted,
+	// such as a call made by the slower copy of a hedged request.
+	aborted := a.GetReason() == wirepb.Reason_REASON_ABORTED
+	if a.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && !aborted {
 		e.o.Emit(event.RequestUnknown,
 			event.F(event.Request, id),
 			event.F(event.Service, q.service),
@@ -89,7 +93,11 @@
 		case now := <-hedge.C:
 			action = p.next(retry.Pending, retry.None, now)
 		case <-ctx.Done():
-			return p.giveUp(retry.Unknown)
+			a := p.giveUp(retry.Unknown)
+			if errors.Is(ctx.Err(), context.Canceled) {
+				a.Reason = wirepb.Reason_REASON_ABORTED
+			}
+			return a
 		}
 		if a := p.act(ctx, action); a != nil {
 			return a
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -317,8 +317,23 @@
 	return e.duplicate(id, q, v, unknown)
 }
 
-// Drain refuses new work and waits until the running work has ended or ctx has.
-func (e *Exit) Drain(ctx context.Context) error {
+// Running returns the number of requests that have begun and not ended.
+func (e *Exit) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.jobs)
+}
+
+// Load returns the load that answers carry.
+func (e *Exit) Load() *wirepb.Hint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hint()
+}
+
+// Drain refuses new work and waits until the running work has ended or ctx
+// has. It returns the number of requests that still run.
+func (e *Exit) Drain(ctx context.Context) int {
 	e.mu.Lock()
 	e.closing = true
 	e.refuseAll(time.Now())
@@ -330,10 +345,9 @@
 	}()
 	select {
 	case <-done:
-		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return e.Running()
 }
 
 // Close stops running requests and waits for them.
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -25,19 +25,17 @@
 
 // conf drives the configuration follower and puts manifests in force.
 type conf struct {
-	n    *Node
+	n *Node
+	// ctx ends the reads under way; it is set by Run.
 	ctx  context.Context
-	stop context.CancelFunc
 	wait sync.WaitGroup
 
 	mu       sync.Mutex
 	follower *config.Follower
-	manifest *spec.Manifest
 }
 
 func newConf(n *Node) *conf {
-	c := &conf{n: n}
-	c.ctx, c.stop = context.WithCancel(context.Background())
+	c := &conf{n: n, ctx: context.Background()}
 	c.follower = config.NewFollower(config.FollowerOptions{
 		FetchStore: c.fetchStore,
 		FetchPeer:  c.fetchPeer,
@@ -47,35 +45,28 @@
 		},
 		Rand: rand.Float64,
 	})
-	c.wait.Add(1)
-	go func() {
-		defer c.wait.Done()
-		c.run()
-	}()
 	return c
 }
 
-func (c *conf) run() {
+// Run follows the configuration until ctx ends and no read is under way.
+func (c *conf) Run(ctx context.Context, ready func()) error {
 	t := time.NewTicker(confTick)
 	defer t.Stop()
+	defer c.wait.Wait()
+	ready()
 	for {
 		select {
 		case now := <-t.C:
 			c.mu.Lock()
+			c.ctx = ctx
 			c.follower.Tick(now)
 			c.mu.Unlock()
-		case <-c.ctx.Done():
-			return
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 }
 
-// Close waits until no read is under way.
-func (c *conf) Close() {
-	c.stop()
-	c.wait.Wait()
-}
-
 // offer passes on a head from gossip or from the store.
 func (c *conf) offer(h config.Head) {
 	c.mu.Lock()
@@ -83,12 +74,31 @@
 	c.follower.Offer(h, time.Now())
 }
 
+// told takes a head that a command has just published through this node. The
+// body is read from the store at once: no peer can have it yet, and one read
+// for each change costs the store nothing.
+func (c *conf) told(h config.Head) {
+	c.offer(h)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.follower.Known() == h && c.follower.Head() != h {
+		c.fetchStore(config.Fetch{Digest: h.Digest})
+	}
+}
+
 func (c *conf) body(d ident.Digest, body []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.follower.Body(d, body, time.Now())
 }
 
+// known returns the newest head known, which gossip passes on.
+func (c *conf) known() config.Head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follower.Known()
+}
+
 // force returns the head in force.
 func (c *conf) force() config.Head {
 	c.mu.Lock()
@@ -104,10 +114,11 @@
 
 // fetchStore is called with the lock held and reads in the background.
 func (c *conf) fetchStore(f config.Fetch) {
+	parent := c.ctx
 	c.wait.Add(1)
 	go func() {
 		defer c.wait.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, storeLimit)
+		ctx, cancel := context.WithTimeout(parent, storeLimit)
 		defer cancel()
 		if f.Digest == "" {
 			c.readHead(ctx)
@@ -138,10 +149,11 @@
 	if !ok {
 		return
 	}
+	parent := c.ctx
 	c.wait.Add(1)
 	go func() {
 		defer c.wait.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, peerLimit)
+		ctx, cancel := context.WithTimeout(parent, peerLimit)
 		defer cancel()
 		a, err := c.n.pool.Client(address).Body(ctx, &wirepb.BodyRequest{Digest: string(f.Digest)})
 		if err == nil {
@@ -161,8 +173,9 @@
 			event.F(event.Error, err))
 		return
 	}
-	c.manifest = m
 	c.n.gate.set(m.Domains, h.Revision, time.Now())
+	c.n.moves.set(m)
 	c.n.entry.SetCatalog(entry.NewCatalog(m))
 	c.n.log.Emit(event.ManifestAdopted, event.F(event.Revision, h.Revision), event.F(event.Digest, h.Digest))
+	c.n.roster.refresh()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,16 +1,20 @@
 // Package node is the root of the node process: it builds the parts, connects
-// them and closes them in reverse order.
+// them and runs them under a supervisor.
+//
+// Locks are taken in this order and never the other way round: shell of the
+// membership, conf, exit, moves, works, roster, gate. A part that has to tell one
+// before it in this order asks roster.refresh, which doesn't block.
 package node
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
@@ -19,52 +23,79 @@
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/plat"
 	"github.com/cicadahall/cicadahall/internal/spec"
+	"github.com/cicadahall/cicadahall/internal/super"
 	"github.com/cicadahall/cicadahall/store"
 )
 
-const (
-	// headerLimit bounds the time in which a client sends its headers, and
-	// bodyLimit the time for the whole request, so that slow clients hold no
-	// place for long.
-	headerLimit = 5 * time.Second
-	bodyLimit   = 30 * time.Second
-	// idleLimit closes idle connections of callers.
-	idleLimit = 2 * time.Minute
-	// maxHeader bounds a request's headers in bytes.
-	maxHeader = 64 << 10
-)
+// drainNotice is how long a stopping node still serves callers, answering
+// with "Connection: close", so that they go elsewhere before it stops.
+const drainNotice = time.Second
+
+// Options configure a Node.
+type Options struct {
+	Settings *spec.Settings
+	// Output writes the log; see event.Output.
+	Output func(keyvals ...any) error
+	// Version is that of the program, for the log.
+	Version string
+}
 
 // Node is one running node.
 type Node struct {
+	o        Options
 	settings *spec.Settings
 	start    ident.Start
+	began    time.Time
 	log      *event.Log
+	metrics  metrics.Registry
 	table    store.Table
 	objects  store.Objects
+	gate     *gate
 	exit     *exit.Exit
 	entry    *entry.Entry
 	pool     *peer.Pool
-	gate     *gate
 	roster   *roster
 	conf     *conf
-
-	listeners []net.Listener
-	servers   []*http.Server
+	moves    *moves
+	works    *works
+	ports    []*port
+	leaving  atomic.Bool
 }
 
-// New builds a node and opens its listeners.
-func New(s *spec.Settings, output func(keyvals ...any) error) (*Node, error) {
+// New builds a node and opens its listeners, so that a port in use is
+// reported at the start.
+func New(o Options) (*Node, error) {
+	s := *o.Settings
 	n := &Node{
-		settings: s,
+		o:        o,
+		settings: &s,
 		start:    ident.Start(rand.Uint64() | 1),
+		began:    time.Now(),
+		metrics:  metrics.NewRegistry(),
 		table:    plat.NewTable(s.Platform.Table),
 		objects:  plat.NewObjects(s.Platform.Objects),
 		pool:     peer.NewPool(peer.Options{Body: int64(s.Limits.Body)}),
 	}
 	level, _ := event.ParseLevel(string(s.Log))
-	n.log = event.New(event.Options{Node: s.Node, Start: n.start, Level: level, Output: output})
+	n.log = event.New(event.Options{Node: s.Node, Start: n.start, Level: level, Output: o.Output})
 	n.gate = newGate(n.log.Emit)
-	n.exit = exit.New(exit.Options{
+	n.moves = newMoves(n)
+	n.works = newWorks(n)
+	n.conf = newConf(n)
+	n.roster = newRoster(n)
+	n.exit = n.newExit()
+	n.entry = n.newEntry()
+	n.register()
+	if err := n.open(); err != nil {
+		n.exit.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) newExit() *exit.Exit {
+	s := n.settings
+	return exit.New(exit.Options{
 		Start:       n.start,
 		Node:        s.Node,
 		Body:        int64(s.Limits.Body),
@@ -72,15 +103,16 @@
 		Connections: s.Limits.Queue,
 		Admits:      func(now time.Time) bool { return n.gate.admits(s.Domain, now) },
 		Emit:        n.log.Emit,
-		Count:       func(exit.Run) {},
-		Changed:     n.announce,
+		Count:       n.count,
+		Changed:     n.roster.refresh,
 	})
-	n.entry = n.newEntry()
-	if err := n.listen(); err != nil {
-		n.closeListeners()
-		return nil, err
-	}
-	return n, nil
+}
+
+// count takes every request that has ended at the exit.
+func (n *Node) count(x exit.Run) {
+	n.measure(x)
+	n.works.record(x)
+	n.moves.observe(x)
 }
 
 func (n *Node) newEntry() *entry.Entry {
@@ -92,7 +124,7 @@
 		Inflight: n.settings.Limits.Inflight,
 		Rand:     rand.Uint64,
 		Weight:   n.gate.weight,
-		Cohort:   func(ident.Service, uint64, time.Time) ident.Version { return "" },
+		Cohort:   n.moves.cohort,
 		Peers: entry.Peers{
 			Call:     n.pool.Call,
 			Resolve:  n.pool.Resolve,
@@ -103,80 +135,76 @@
 	})
 }
 
-// listen opens all listeners, so that a port in use is reported at the start.
-// Port 0 in the settings is replaced by the port that the system has chosen.
-func (n *Node) listen() error {
-	l := &n.settings.Listen
-	plan := []struct {
-		address *string
-		server  *http.Server
-	}{
-		{&l.Peers, peer.NewServer(&handler{n: n}, peer.Options{Body: int64(n.settings.Limits.Body)})},
-		{&l.Local, server(n.exit.Local())},
-		{&l.Admin, server(n.admin())},
-		{&l.Callers, server(n.entry)},
-	}
-	for _, p := range plan {
-		s, err := net.Listen("tcp", *p.address)
-		if err != nil {
-			return oops.With("step", "listen", "peer", *p.address).Wrap(err)
+// closing asks callers to use another node once this one is stopping.
+func (n *Node) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
 		}
-		*p.address = s.Addr().String()
-		n.listeners = append(n.listeners, s)
-		n.servers = append(n.servers, p.server)
-	}
-	return nil
-}
-
-func server(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerLimit,
-		ReadTimeout:       bodyLimit,
-		IdleTimeout:       idleLimit,
-		MaxHeaderBytes:    maxHeader,
-	}
-}
-
-func (n *Node) closeListeners() {
-	for _, l := range n.listeners {
-		_ = l.Close()
-	}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // Run serves until ctx ends, then drains and closes the node.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Emit(event.NodeStarted, event.F(event.Domain, n.settings.Domain), event.F(event.Address, n.settings.Listen.Peers))
-	n.conf = newConf(n)
-	n.roster = newRoster(n)
-	failed := make(chan error, len(n.servers))
-	for i, s := range n.servers {
-		go func() { failed <- s.Serve(n.listeners[i]) }()
+	n.log.Emit(event.NodeStarted,
+		event.F(event.Version, n.o.Version),
+		event.F(event.Domain, n.settings.Domain),
+		event.F(event.Address, n.settings.Listen.Peers))
+	children := []super.Child{
+		{Name: "members", Run: n.roster.Run},
+		{Name: "config", Run: n.conf.Run},
+		{Name: "moves", Run: n.moves.Run},
+		{Name: "works", Run: n.works.Run},
 	}
-	var err error
+	for _, p := range n.ports {
+		children = append(children, super.Child{Name: p.name, Run: p.Run})
+	}
+	s := super.New(super.Options{Children: children, Emit: n.log.Emit})
 	select {
-	case err = <-failed:
+	case <-s.Ready():
+		n.log.Emit(event.NodeReady, event.F(event.Elapsed, time.Since(n.began)))
+	case <-s.Done():
 	case <-ctx.Done():
 	}
-	return errors.Join(err, n.close(context.WithoutCancel(ctx)))
+	select {
+	case <-s.Done():
+	case <-ctx.Done():
+	}
+	return n.close(context.WithoutCancel(ctx), s)
 }
 
 // close drains the node. The order matters: first nobody chooses this node any
-// more, then running work ends, then the listeners close.
-func (n *Node) close(ctx context.Context) error {
+// more, then running work ends, then the listeners close, callers' first.
+func (n *Node) close(ctx context.Context, s *super.Supervisor) error {
+	began := time.Now()
 	limit, cancel := context.WithTimeout(ctx, n.settings.Drain)
 	defer cancel()
-	n.log.Emit(event.NodeDraining, event.F(event.Reason, "signal"))
+	n.log.Emit(event.NodeDraining, event.F(event.Reason, "signal"), event.F(event.Count, n.exit.Running()))
+	n.leaving.Store(true)
 	n.roster.leave()
-	err := n.exit.Drain(limit)
-	for i := len(n.servers) - 1; i >= 0; i-- {
-		err = errors.Join(err, n.servers[i].Shutdown(limit))
-	}
+	sleep(limit, drainNotice)
+	cut := n.exit.Drain(limit)
+	n.works.finish(limit)
+	err := s.Close()
 	n.entry.Close()
 	n.exit.Close()
-	n.roster.Close()
-	n.conf.Close()
 	n.pool.Close()
-	n.log.Emit(event.NodeStopped)
+	n.log.Emit(event.NodeStopped, event.F(event.Elapsed, time.Since(began)), event.F(event.Count, cut))
+	if cut > 0 {
+		err = errors.Join(err, errCut)
+	}
 	return err
 }
+
+// errCut reports running requests that didn't end within the drain time.
+var errCut = errors.New("running requests were cut at the end of the drain time")
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -2,89 +2,86 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadahall/cicadahall/choose"
+	"github.com/cicadahall/cicadahall/config"
+	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/entry"
+	"github.com/cicadahall/cicadahall/internal/gossip"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
-	"github.com/cicadahall/cicadahall/store"
+	"github.com/cicadahall/cicadahall/member"
 )
 
-// joinPrefix precedes the node's name in the key of its join row.
-const joinPrefix = "member/"
+// publishInterval bounds how often a changed member list is handed on; a
+// region that heals changes hundreds of records within a second.
+const publishInterval = 20 * time.Millisecond
 
-// rosterTick is how often the join rows are read.
-const rosterTick = 500 * time.Millisecond
-
-// joinRow is how nodes find each other through the table service.
-type joinRow struct {
-	Node    ident.Node    `json:"node"`
-	Start   ident.Start   `json:"start,string"`
-	Domain  ident.Domain  `json:"domain"`
-	Region  ident.Region  `json:"region"`
-	Service ident.Service `json:"service"`
-	Version ident.Version `json:"version"`
-	Slots   ident.Slots   `json:"slots"`
-	Peers   string        `json:"peers"`
-	Leaving bool          `json:"leaving"`
-	// Revision is the manifest in force at the node.
-	Revision ident.Revision `json:"revision"`
-}
-
-// roster finds the members of the system.
+// roster knows the members of the system. It drives the membership shell with
+// the own record and hands the members to entry and exit.
 type roster struct {
-	n    *Node
-	ctx  context.Context
-	stop context.CancelFunc
-	wait sync.WaitGroup
+	n     *Node
+	shell atomic.Pointer[gossip.Shell]
+	// stale asks the loop to bring machine, entry and exit up to date.
+	stale chan struct{}
 
 	mu      sync.Mutex
-	leaving bool
-	rows    []joinRow
+	records map[ident.Node]member.Record
 }
 
 func newRoster(n *Node) *roster {
-	r := &roster{n: n}
-	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.wait.Add(1)
-	go func() {
-		defer r.wait.Done()
-		r.run()
-	}()
-	return r
+	return &roster{n: n, stale: make(chan struct{}, 1), records: map[ident.Node]member.Record{}}
 }
 
-func (r *roster) run() {
-	t := time.NewTicker(rosterTick)
-	defer t.Stop()
-	for {
-		r.write()
-		r.read()
-		select {
-		case <-t.C:
-		case <-r.ctx.Done():
-			return
-		}
+// Run takes part in the membership protocol until ctx ends.
+func (r *roster) Run(ctx context.Context, ready func()) error {
+	shell, err := gossip.New(gossip.Options{
+		Listen:  r.n.settings.Listen.Gossip,
+		Metrics: r.n.metrics,
+		Call:    r.call,
+		Member: member.Options{
+			Self:   r.own(),
+			Began:  time.Now(),
+			Rand:   rand.IntN,
+			Notify: r.notify,
+			Heard:  func(h member.Head) { r.n.conf.offer(config.Head(h)) },
+			Fault:  r.n.moves.fault,
+		},
+	})
+	if err != nil {
+		return err
 	}
+	r.shell.Store(shell)
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		r.join(ctx, shell)
+	}()
+	r.refresh()
+	ready()
+	r.run(ctx)
+	<-joined
+	return errors.Join(ctx.Err(), shell.Close())
 }
 
-// Close stops reading.
-func (r *roster) Close() {
-	r.stop()
-	r.wait.Wait()
+// with runs a function on the machine, if the protocol runs.
+func (r *roster) with(f func(m *member.Machine, now time.Time)) {
+	if s := r.shell.Load(); s != nil {
+		s.With(f)
+	}
 }
 
-func (r *roster) own() joinRow {
+// own returns the record of this node and its upstream. Node, start and state
+// are the machine's after the first call.
+func (r *roster) own() member.Record {
 	u := r.n.exit.Upstream()
-	force := r.n.conf.force()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	s := r.n.settings
-	return joinRow{
+	return member.Record{
 		Node:     s.Node,
 		Start:    r.n.start,
 		Domain:   s.Domain,
@@ -92,94 +89,177 @@
 		Service:  u.Service,
 		Version:  u.Version,
 		Slots:    u.Slots,
-		Peers:    s.Listen.Peers,
-		Revision: force.Revision,
-		Leaving:  r.leaving || u.Draining || !u.Ready,
+		RPC:      s.Listen.Peers,
+		Revision: r.n.conf.force().Revision,
+		Ready:    u.Ready && !u.Draining,
 	}
 }
 
-func (r *roster) write() {
-	ctx, cancel := context.WithTimeout(r.ctx, storeLimit)
-	defer cancel()
-	value, err := json.Marshal(r.own())
-	if err != nil {
-		return
+// refresh asks for an update soon. It never blocks, so that it can be called
+// with any lock held.
+func (r *roster) refresh() {
+	select {
+	case r.stale <- struct{}{}:
+	default:
 	}
-	key := joinPrefix + string(r.n.settings.Node)
-	old, res := r.n.table.Get(ctx, key)
-	if !res.OK() || string(old.Value) == string(value) {
-		return
-	}
-	r.n.table.Commit(ctx, []store.Write{{Key: key, Value: value, Expect: old.Version}})
 }
 
-func (r *roster) read() {
-	ctx, cancel := context.WithTimeout(r.ctx, storeLimit)
-	defer cancel()
-	found, res := r.n.table.Scan(ctx, joinPrefix)
-	if !res.OK() {
-		return
-	}
-	var rows []joinRow
-	for _, f := range found {
-		var j joinRow
-		if json.Unmarshal(f.Value, &j) == nil {
-			rows = append(rows, j)
+func (r *roster) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.stale:
+		}
+		r.update()
+		r.publish()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(publishInterval):
 		}
 	}
+}
+
+// update tells the machine what this node and its configuration are now.
+func (r *roster) update() {
+	own := r.own()
+	known := r.n.conf.known()
+	faults := r.n.moves.faults()
+	r.with(func(m *member.Machine, now time.Time) {
+		own.UDP = m.Self().UDP
+		m.Update(own, now)
+		m.SetHead(member.Head(known))
+		for _, f := range faults {
+			m.SetFault(f)
+		}
+		m.ClearFaults(r.n.moves.over)
+		r.notify(m.Self())
+	})
+}
+
+// notify is called by the machine, under the shell's lock.
+func (r *roster) notify(c member.Record) {
 	r.mu.Lock()
-	r.rows = rows
-	r.mu.Unlock()
-	r.publish(targets(rows))
+	defer r.mu.Unlock()
+	old, seen := r.records[c.Node]
+	r.records[c.Node] = c
+	if c.Node != r.n.settings.Node {
+		r.report(old, c, seen)
+	}
+	if seen && (lost(c) || old.Start != c.Start) {
+		r.n.works.gone(old)
+	}
+	if old != c {
+		r.refresh()
+	}
+}
+
+func (r *roster) report(old, c member.Record, seen bool) {
+	peer := event.F(event.Peer, c.Node)
+	switch {
+	case !seen || old.Start != c.Start:
+		r.n.log.Emit(event.MemberJoined, peer,
+			event.F(event.Domain, c.Domain),
+			event.F(event.Service, c.Service),
+			event.F(event.Version, c.Version),
+			event.F(event.Address, c.RPC))
+	case old.State == c.State:
+	case c.State == member.Alive:
+		r.n.log.Emit(event.MemberAlive, peer)
+	case c.State == member.Suspect:
+		r.n.log.Emit(event.MemberSuspect, peer)
+	case c.State == member.Leaving:
+		r.n.log.Emit(event.MemberLeaving, peer)
+	case c.State == member.Unreachable:
+		r.n.log.Emit(event.MemberUnreachable, peer)
+	case c.State == member.Left:
+		r.n.log.Emit(event.MemberLeft, peer)
+	}
 }
 
 // publish hands the members to the entry and to the exit's key fences.
-func (r *roster) publish(ts []entry.Target) {
-	r.n.entry.Update(ts)
-	members := make([]choose.Member, 0, len(ts))
-	for _, t := range ts {
+func (r *roster) publish() {
+	targets := r.targets()
+	r.n.entry.Update(targets)
+	members := make([]choose.Member, 0, len(targets))
+	for _, t := range targets {
 		members = append(members, t.Member)
 	}
 	r.n.exit.SetMembers(entry.Homes(members)[r.n.exit.Upstream().Service])
 }
 
-func targets(rows []joinRow) []entry.Target {
-	out := make([]entry.Target, 0, len(rows))
-	for _, j := range rows {
-		if j.Service == "" {
+// targets lists the members that have an upstream and may be reached.
+func (r *roster) targets() []entry.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]entry.Target, 0, len(r.records))
+	for _, c := range r.records {
+		if c.Service == "" || lost(c) {
 			continue
 		}
-		m := choose.Member{
-			Node:    j.Node,
-			Service: j.Service,
-			Version: j.Version,
-			Domain:  j.Domain,
-			Region:  j.Region,
-			Slots:   j.Slots,
-		}
-		if j.Leaving {
-			m.State = choose.Leaving
-		}
-		out = append(out, entry.Target{Member: m, Address: j.Peers, Start: j.Start})
+		out = append(out, entry.Target{
+			Member: choose.Member{
+				Node:    c.Node,
+				Service: c.Service,
+				Version: c.Version,
+				Domain:  c.Domain,
+				Region:  c.Region,
+				Slots:   c.Slots,
+				State:   stateOf(c),
+			},
+			Address: c.RPC,
+			Start:   c.Start,
+		})
 	}
 	return out
 }
 
+// lost reports whether a member isn't expected to answer.
+func lost(c member.Record) bool {
+	return c.State == member.Unreachable || c.State == member.Left
+}
+
+func stateOf(c member.Record) choose.State {
+	switch {
+	case c.State == member.Leaving || !c.Ready:
+		return choose.Leaving
+	case c.State == member.Suspect:
+		return choose.Suspect
+	default:
+		return choose.Alive
+	}
+}
+
+// leave announces that this node takes no new work.
 func (r *roster) leave() {
+	r.with(func(m *member.Machine, now time.Time) {
+		m.Leave(now)
+		r.notify(m.Self())
+	})
+}
+
+// size returns the number of members that are expected to answer.
+func (r *roster) size() int {
 	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
-	r.write()
+	defer r.mu.Unlock()
+	n := 0
+	for _, c := range r.records {
+		if !lost(c) {
+			n++
+		}
+	}
+	return n
 }
 
-// random returns the address of another member.
+// random returns the address of another member that should answer.
 func (r *roster) random() (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var others []string
-	for _, j := range r.rows {
-		if j.Node != r.n.settings.Node {
-			others = append(others, j.Peers)
+	for _, c := range r.records {
+		if c.Node != r.n.settings.Node && !lost(c) {
+			others = append(others, c.RPC)
 		}
 	}
 	if len(others) == 0 {
@@ -188,19 +268,14 @@
 	return others[rand.IntN(len(others))], true
 }
 
-func (n *Node) announce() {
-	if n.roster != nil {
-		go n.roster.write()
-	}
+// call carries one anti-entropy message.
+func (r *roster) call(ctx context.Context, to member.Record, q *wirepb.SyncRequest) (*wirepb.SyncResponse, error) {
+	return r.n.pool.Client(to.RPC).Sync(ctx, q)
 }
 
-// records returns the members in the wire form.
-func (r *roster) records() []*wirepb.Record {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]*wirepb.Record, 0, len(r.rows))
-	for _, j := range r.rows {
-		out = append(out, &wirepb.Record{Node: string(j.Node), Start: uint64(j.Start), Revision: uint64(j.Revision)})
-	}
-	return out
+// wire returns all records, the own one included.
+func (r *roster) wire() []*wirepb.Record {
+	var members []member.Record
+	r.with(func(m *member.Machine, _ time.Time) { members = m.Members() })
+	return gossip.ToWire(members)
 }
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -113,6 +113,13 @@
 	_ = json.NewEncoder(w).Encode(u.tally)
 }
 
+// Runs returns the number of executed requests.
+func (u *Upstream) Runs() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.tally.Runs
+}
+
 // run is what one request is going to experience.
 type run struct {
 	shed  bool
--- a/internal/wirepb/wire.connect.go
+++ b/internal/wirepb/wire.connect.go
@@ -45,6 +45,8 @@
 	PeerBodyProcedure = "/wirepb.Peer/Body"
 	// PeerKeepProcedure is the fully-qualified name of the Peer's Keep RPC.
 	PeerKeepProcedure = "/wirepb.Peer/Keep"
+	// PeerHeldProcedure is the fully-qualified name of the Peer's Held RPC.
+	PeerHeldProcedure = "/wirepb.Peer/Held"
 	// PeerEventsProcedure is the fully-qualified name of the Peer's Events RPC.
 	PeerEventsProcedure = "/wirepb.Peer/Events"
 	// PeerStatusProcedure is the fully-qualified name of the Peer's Status RPC.
@@ -66,6 +68,8 @@
 	Body(context.Context, *BodyRequest) (*BodyResponse, error)
 	// Keep stores a work snapshot of another node until it is in the table.
 	Keep(context.Context, *KeepRequest) (*KeepResponse, error)
+	// Held returns the work snapshots that one node holds.
+	Held(context.Context, *HeldRequest) (*HeldResponse, error)
 	// Events lists the recorded events of one node.
 	Events(context.Context, *EventsRequest) (*EventsResponse, error)
 	// Status tells what one node knows of the whole system.
@@ -119,6 +123,12 @@
 			connect.WithSchema(peerMethods.ByName("Keep")),
 			connect.WithClientOptions(opts...),
 		),
+		held: connect.NewClient[HeldRequest, HeldResponse](
+			httpClient,
+			baseURL+PeerHeldProcedure,
+			connect.WithSchema(peerMethods.ByName("Held")),
+			connect.WithClientOptions(opts...),
+		),
 		events: connect.NewClient[EventsRequest, EventsResponse](
 			httpClient,
 			baseURL+PeerEventsProcedure,
@@ -142,6 +152,7 @@
 	share   *connect.Client[ShareRequest, ShareResponse]
 	body    *connect.Client[BodyRequest, BodyResponse]
 	keep    *connect.Client[KeepRequest, KeepResponse]
+	held    *connect.Client[HeldRequest, HeldResponse]
 	events  *connect.Client[EventsRequest, EventsResponse]
 	status  *connect.Client[StatusRequest, StatusResponse]
 }
@@ -200,6 +211,15 @@
 	return nil, err
 }
 
+// Held calls wirepb.Peer.Held.
+func (c *peerClient) Held(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
+	response, err := c.held.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Events calls wirepb.Peer.Events.
 func (c *peerClient) Events(ctx context.Context, req *EventsRequest) (*EventsResponse, error) {
 	response, err := c.events.CallUnary(ctx, connect.NewRequest(req))
@@ -233,6 +253,8 @@
 	Body(context.Context, *BodyRequest) (*BodyResponse, error)
 	// Keep stores a work snapshot of another node until it is in the table.
 	Keep(context.Context, *KeepRequest) (*KeepResponse, error)
+	// Held returns the work snapshots that one node holds.
+	Held(context.Context, *HeldRequest) (*HeldResponse, error)
 	// Events lists the recorded events of one node.
 	Events(context.Context, *EventsRequest) (*EventsResponse, error)
 	// Status tells what one node knows of the whole system.
@@ -282,6 +304,12 @@
 		connect.WithSchema(peerMethods.ByName("Keep")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerHeldHandler := connect.NewUnaryHandlerSimple(
+		PeerHeldProcedure,
+		svc.Held,
+		connect.WithSchema(peerMethods.ByName("Held")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerEventsHandler := connect.NewUnaryHandlerSimple(
 		PeerEventsProcedure,
 		svc.Events,
@@ -308,6 +336,8 @@
 			peerBodyHandler.ServeHTTP(w, r)
 		case PeerKeepProcedure:
 			peerKeepHandler.ServeHTTP(w, r)
+		case PeerHeldProcedure:
+			peerHeldHandler.ServeHTTP(w, r)
 		case PeerEventsProcedure:
 			peerEventsHandler.ServeHTTP(w, r)
 		case PeerStatusProcedure:
@@ -345,6 +375,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wirepb.Peer.Keep is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Held(context.Context, *HeldRequest) (*HeldResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wirepb.Peer.Held is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Events(context.Context, *EventsRequest) (*EventsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wirepb.Peer.Events is not implemented"))
 }
