--- a/event/event_test.go
+++ b/event/event_test.go
@@ -99,12 +99,12 @@
 // that no message can carry, so that the events of this node can't be read.
 func TestValuesAreBounded(t *testing.T) {
 	l := event.New(event.Options{})
-	path := event.F(event.Path, strings.Repeat("é", 1000))
-	l.Emit(event.ProbeFailed, path, event.F(event.Error, "a\xffb"))
+	fields := []event.Field{event.F(event.Path, strings.Repeat("é", 1000)), event.F(event.Error, "a\xffb")}
+	l.Emit(event.ProbeFailed, fields...)
 	records, _ := l.Since(0)
 	assert.Equal(t, records[0].Value(event.Path), strings.Repeat("é", 256))
 	assert.Equal(t, records[0].Value(event.Error), "ab")
-	assert.Equal(t, len(path.Value), 2000)
+	assert.Equal(t, len(fields[0].Value), 2000, "the caller's fields are changed")
 	l.Emit(event.ProbeFailed, event.F(event.Path, "a"+strings.Repeat("é", 1000)))
 	records, _ = l.Since(1)
 	assert.Equal(t, records[0].Value(event.Path), "a"+strings.Repeat("é", 255))
