--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -12,6 +12,7 @@
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/retry"
 )
@@ -46,7 +47,7 @@
 
 // place runs a request and returns what is known about it in the end.
 func (e *Entry) place(ctx context.Context, id ident.Request, q *request) *wirepb.CallResponse {
-	now := time.Now()
+	now := mono.Now()
 	version := q.version
 	if version == "" {
 		version = e.o.Cohort(q.service, id.Low(), now)
@@ -140,7 +141,7 @@
 	p.e.learn(p.q.service, end)
 	o := retry.Outcome(end.answer.GetOutcome())
 	p.doubt = p.doubt || o == retry.Unknown
-	return p.next(o, retry.Reason(end.answer.GetReason()), time.Now())
+	return p.next(o, retry.Reason(end.answer.GetReason()), mono.Now())
 }
 
 func (p *placement) next(o retry.Outcome, r retry.Reason, now time.Time) retry.Action {
@@ -166,7 +167,7 @@
 // send starts one more copy on another member. It reports false if there is
 // none to choose.
 func (p *placement) send(ctx context.Context, last bool) bool {
-	now := time.Now()
+	now := mono.Now()
 	p.e.mu.Lock()
 	defer p.e.mu.Unlock()
 	chain, ok := p.plan.Child(now)
@@ -283,7 +284,7 @@
 func (e *Entry) learn(s ident.Service, end copyEnd) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := mono.Now()
 	a := end.answer
 	switch {
 	case a.GetHint() == nil:
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -134,7 +135,7 @@
 		req.Host = host
 		req.Header.Del("Host")
 	}
-	chain(req.Header, q, time.Until(time.Unix(0, q.GetDeadlineNanos())))
+	chain(req.Header, q, mono.Until(time.Unix(0, q.GetDeadlineNanos())))
 	return req, nil
 }
 
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -17,6 +17,7 @@
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -93,7 +94,7 @@
 		ended:    make(chan struct{}),
 	}
 	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{Start: o.Start, Size: answerSize})
-	e.keys = fence.NewKeys(fence.KeyOptions[*wirepb.CallResponse]{Self: o.Node, Size: answerSize}, nil, time.Now())
+	e.keys = fence.NewKeys(fence.KeyOptions[*wirepb.CallResponse]{Self: o.Node, Size: answerSize}, nil, mono.Now())
 	e.limiter = e.newLimiter()
 	go func() {
 		defer close(e.ended)
@@ -125,7 +126,7 @@
 // expire gives up what waits too long and an upstream that has gone silent.
 func (e *Exit) expire() {
 	e.mu.Lock()
-	now := time.Now()
+	now := mono.Now()
 	e.limiter.Tick(now)
 	e.fences.Expire(now)
 	gone := e.upstream.Ready && now.Sub(e.upstream.heard) > heartbeatLimit
@@ -175,7 +176,7 @@
 func (e *Exit) accept(q *wirepb.CallRequest) (*job, *wirepb.CallResponse) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := mono.Now()
 	deadline := time.Unix(0, q.GetDeadlineNanos())
 	id := requestID(q.GetId())
 	v := e.fences.Begin(id, ident.Start(q.GetStart()), deadline, now)
@@ -188,7 +189,7 @@
 	if a := e.claim(q, now); a != nil {
 		return nil, e.answerByKey(id, q, a, now)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(now))
 	j := &job{id: id, q: q, ctx: ctx, cancel: cancel, done: make(chan struct{}), began: now}
 	e.jobs[id] = j
 	e.running.Add(1)
@@ -252,7 +253,7 @@
 
 // run dispatches an admitted request and ends it.
 func (e *Exit) run(j *job, address string) {
-	began := time.Now()
+	began := mono.Now()
 	a := e.dispatch.send(j.ctx, address, j.q)
 	busy := time.Since(began)
 	a.BusyNanos = int64(busy)
@@ -263,7 +264,7 @@
 func (e *Exit) finish(j *job, a *wirepb.CallResponse, busy time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := mono.Now()
 	state := fence.Ran
 	if a.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED {
 		state = fence.Refused
@@ -313,7 +314,7 @@
 	defer e.mu.Unlock()
 	id := requestID(r.GetId())
 	q := &wirepb.CallRequest{Id: r.GetId()}
-	v := e.fences.Cancel(id, ident.Start(r.GetStart()), time.Unix(0, r.GetDeadlineNanos()), time.Now())
+	v := e.fences.Cancel(id, ident.Start(r.GetStart()), time.Unix(0, r.GetDeadlineNanos()), mono.Now())
 	return e.duplicate(id, q, v, unknown)
 }
 
@@ -336,7 +337,7 @@
 func (e *Exit) Drain(ctx context.Context) int {
 	e.mu.Lock()
 	e.closing = true
-	e.refuseAll(time.Now())
+	e.refuseAll(mono.Now())
 	e.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
@@ -354,7 +355,7 @@
 func (e *Exit) Close() {
 	e.mu.Lock()
 	e.closing = true
-	e.refuseAll(time.Now())
+	e.refuseAll(mono.Now())
 	for _, j := range e.jobs {
 		j.cancel()
 	}
--- a/internal/exit/keys.go
+++ b/internal/exit/keys.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -12,7 +13,7 @@
 func (e *Exit) SetMembers(members []ident.Node) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.keys.Members(members, time.Now())
+	e.keys.Members(members, mono.Now())
 }
 
 // claim takes the caller's key for a request that is about to run. It returns
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -7,6 +7,7 @@
 	"github.com/cicadahall/cicadahall/admit"
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -67,7 +68,7 @@
 func (e *Exit) abort(j *job) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := mono.Now()
 	if e.jobs[j.id] == j && e.limiter.Cancel(j.id, now) {
 		e.end(j, refusal(j.q, wirepb.Reason_REASON_ABORTED), fence.Refused, now)
 		return
--- a/internal/exit/upstream.go
+++ b/internal/exit/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/mono"
 )
 
 // Upstream is what the upstream beside the node has announced.
@@ -34,7 +35,7 @@
 // Announce takes the upstream's announcement or heartbeat. A new start
 // identity means a cold upstream, whatever it did before.
 func (e *Exit) Announce(u Upstream) {
-	if e.announce(u, time.Now()) {
+	if e.announce(u, mono.Now()) {
 		e.o.Changed()
 	}
 }
@@ -75,7 +76,7 @@
 // DrainUpstream refuses new work on behalf of the upstream.
 func (e *Exit) DrainUpstream() {
 	e.mu.Lock()
-	e.refuseAll(time.Now())
+	e.refuseAll(mono.Now())
 	e.upstream.Draining = true
 	e.o.Emit(event.UpstreamDrained, event.F(event.Service, e.upstream.Service), event.F(event.Version, e.upstream.Version))
 	e.mu.Unlock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
 	"github.com/cicadahall/cicadahall/internal/fakes"
+	"github.com/cicadahall/cicadahall/internal/gather"
 	"github.com/cicadahall/cicadahall/internal/node"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/plat"
@@ -50,6 +51,7 @@
 	s.platform = httptest.NewServer(stand.NewPlatform().Handler())
 	t.Cleanup(func() {
 		for _, r := range s.nodes {
+			s.checkEvents(r)
 			r.stop()
 		}
 		for _, r := range s.nodes {
@@ -134,6 +136,18 @@
 	return a
 }
 
+// checkEvents guards against events whose fields the catalogue doesn't list.
+func (s *system) checkEvents(r *running) {
+	a, err := s.pool.Client(r.settings.Listen.Peers).Events(context.Background(), &wirepb.EventsRequest{})
+	if err != nil {
+		return // stopped by the test
+	}
+	assert.Assert(s.t, len(a.GetEvents()) > 0)
+	for _, e := range a.GetEvents() {
+		assert.NilError(s.t, gather.FromWire(e).Check())
+	}
+}
+
 // settled waits until every node has the revision and knows all upstreams.
 func (s *system) settled(h config.Head) {
 	s.t.Helper()
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -4,6 +4,7 @@
 package stand
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -102,14 +103,25 @@
 			handle(discard{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		case ModeSlow:
-			pause(r.Context(), time.Duration(f.Delay)*time.Millisecond)
-			handle(w, r)
+			slow(w, r, time.Duration(f.Delay)*time.Millisecond, handle)
 		default:
 			handle(w, r)
 		}
 	}
 }
 
+// slow delays a call. The body is read first, because net/http notices that a
+// client has gone only after that.
+func slow(w http.ResponseWriter, r *http.Request, d time.Duration, handle http.HandlerFunc) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	pause(r.Context(), d)
+	handle(w, r)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
