Report store outages and cold upstreams; treat new members as cold

Cause: a member without hints counted as idle with all its slots, so a cold upstream drew many requests that its exit then refused. Outages of the platform were visible only in missing effects. Ruled out: sending the exit's limit by gossip; answers carry it already.

--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -77,6 +77,8 @@
 	// draining is set while nothing is admitted, closing once that is final.
 	draining bool
 	closing  bool
+	// chilled is when the limit was last seen low; zero while it is not.
+	chilled time.Time
 
 	running sync.WaitGroup
 	stop    context.CancelFunc
@@ -129,6 +131,7 @@
 	now := mono.Now()
 	e.limiter.Tick(now)
 	e.fences.Expire(now)
+	e.reportWarmth(now)
 	gone := e.upstream.Ready && now.Sub(e.upstream.heard) > heartbeatLimit
 	if gone {
 		e.withdraw("heartbeat")
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadahall/cicadahall/admit"
+	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/mono"
@@ -114,6 +115,34 @@
 	}
 }
 
+// coldShare is the part of the slots below which a limit counts as cold.
+const coldShare = 4
+
+// reportWarmth emits an event when the upstream turns cold, as its limit
+// shows, and when it has reached its slots again.
+func (e *Exit) reportWarmth(now time.Time) {
+	limit := e.limiter.Load().Limit
+	slots := int32(e.upstream.Slots)
+	switch {
+	case !e.upstream.Ready || e.draining || slots <= coldShare:
+	case e.chilled.IsZero() && limit*coldShare <= slots:
+		e.chilled = now
+		e.emitWarmth(event.UpstreamCold, limit)
+	case !e.chilled.IsZero() && limit >= slots:
+		e.emitWarmth(event.UpstreamWarm, limit, event.F(event.Elapsed, now.Sub(e.chilled)))
+		e.chilled = time.Time{}
+	}
+}
+
+func (e *Exit) emitWarmth(c event.Code, limit int32, more ...event.Field) {
+	fields := []event.Field{
+		event.F(event.Service, e.upstream.Service),
+		event.F(event.Version, e.upstream.Version),
+		event.F(event.Limit, limit),
+	}
+	e.o.Emit(c, append(fields, more...)...)
+}
+
 // hint returns the load that answers carry; it is called with the lock held.
 func (e *Exit) hint() *wirepb.Hint {
 	l := e.limiter.Load()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,12 +72,14 @@
 		start:    ident.Start(rand.Uint64() | 1),
 		began:    time.Now(),
 		metrics:  metrics.NewRegistry(),
-		table:    plat.NewTable(s.Platform.Table),
-		objects:  plat.NewObjects(s.Platform.Objects),
 		pool:     peer.NewPool(peer.Options{Body: int64(s.Limits.Body)}),
 	}
 	level, _ := event.ParseLevel(string(s.Log))
 	n.log = event.New(event.Options{Node: s.Node, Start: n.start, Level: level, Output: o.Output})
+	table := &watch{name: s.Platform.Table, emit: n.log.Emit}
+	n.table = table.table(plat.NewTable(s.Platform.Table))
+	objects := &watch{name: s.Platform.Objects, emit: n.log.Emit}
+	n.objects = objects.objects(plat.NewObjects(s.Platform.Objects))
 	n.gate = newGate(n.log.Emit)
 	n.moves = newMoves(n)
 	n.works = newWorks(n)
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -32,10 +32,12 @@
 
 	mu      sync.Mutex
 	records map[ident.Node]member.Record
+	// born is when the present start of a member was first seen.
+	born map[ident.Node]time.Time
 }
 
 func newRoster(n *Node) *roster {
-	return &roster{n: n, stale: make(chan struct{}, 1), records: map[ident.Node]member.Record{}}
+	return &roster{n: n, stale: make(chan struct{}, 1), records: map[ident.Node]member.Record{}, born: map[ident.Node]time.Time{}}
 }
 
 // Run takes part in the membership protocol until ctx ends.
@@ -144,6 +146,9 @@
 	defer r.mu.Unlock()
 	old, seen := r.records[c.Node]
 	r.records[c.Node] = c
+	if !seen || old.Start != c.Start || (c.Ready && !old.Ready) {
+		r.born[c.Node] = time.Now()
+	}
 	if c.Node != r.n.settings.Node {
 		r.report(old, c, seen)
 	}
@@ -193,6 +198,7 @@
 func (r *roster) targets() []entry.Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	out := make([]entry.Target, 0, len(r.records))
 	for _, c := range r.records {
 		if c.Service == "" || lost(c) {
@@ -206,7 +212,7 @@
 				Domain:  c.Domain,
 				Region:  c.Region,
 				Slots:   c.Slots,
-				State:   stateOf(c),
+				State:   stateOf(c, now.Sub(r.born[c.Node])),
 			},
 			Address: c.RPC,
 			Start:   c.Start,
@@ -220,12 +226,18 @@
 	return c.State == member.Unreachable || c.State == member.Left
 }
 
-func stateOf(c member.Record) choose.State {
+// coldTime is how long a new member counts as cold. Its answers tell more
+// long before; without any it must not be taken for idle.
+const coldTime = 30 * time.Second
+
+func stateOf(c member.Record, age time.Duration) choose.State {
 	switch {
 	case c.State == member.Leaving || !c.Ready:
 		return choose.Leaving
 	case c.State == member.Suspect:
 		return choose.Suspect
+	case age < coldTime:
+		return choose.Cold
 	default:
 		return choose.Alive
 	}
--- a/internal/node/works.go
+++ b/internal/node/works.go
@@ -145,9 +145,8 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, storeLimit)
 	defer cancel()
-	if err := w.keeper.Write(limited, now); err != nil {
-		w.n.log.Emit(event.StoreDown, event.F(event.Store, w.n.settings.Platform.Table), event.F(event.Error, err))
-		return
+	if w.keeper.Write(limited, now) != nil {
+		return // the table's watch has reported it; the rows stay due
 	}
 	w.n.log.Emit(event.ReportWritten, event.F(event.Elapsed, time.Since(now)))
 }
