--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,3 +1,6 @@
+// Package demo takes a whole system on loopback through a day's changes and
+// failures and checks the promises that it observes. It is a test program and
+// not part of the product's binary.
 package demo
 
 import (
@@ -11,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/procs"
 )
 
 // Options configure a run of the demo.
@@ -28,7 +31,7 @@
 
 // Result is what the demo has observed.
 type Result struct {
-	Totals
+	procs.Totals
 	// Twice counts orders that ran more than once and must not.
 	Twice int `json:"twice"`
 	// False counts orders reported as not run that ran.
@@ -66,9 +69,9 @@
 // scenario is one run of the demo.
 type scenario struct {
 	o    Options
-	s    *system
-	l    *load
-	m    manifest
+	s    *procs.System
+	l    *procs.Load
+	m    procs.Manifest
 	r    Result
 	ctx  context.Context
 	stop context.CancelFunc
@@ -77,12 +80,12 @@
 
 // Run starts the system, takes it through all steps and stops it.
 func Run(ctx context.Context, o Options) (Result, error) {
-	c := &scenario{o: o, s: newSystem(o.Dir, o.Bin), done: make(chan struct{})}
+	c := &scenario{o: o, s: procs.NewSystem(o.Dir, o.Bin), done: make(chan struct{})}
 	c.ctx, c.stop = context.WithCancel(ctx)
 	defer c.stop()
 	err := c.steps()
 	c.stop()
-	c.r.Left += c.s.all.killAll()
+	c.r.Left += c.s.All.KillAll()
 	if err != nil {
 		return c.r, err
 	}
@@ -118,19 +121,19 @@
 }
 
 func (c *scenario) startAll() error {
-	if err := c.s.startPlatform(); err != nil {
+	if err := c.s.StartPlatform(); err != nil {
 		return err
 	}
 	add := func(service, version string, count int) error {
 		for i := range count {
-			w := &worker{
-				name:    fmt.Sprintf("%s-%s-%d", service, version, i+1),
-				service: service,
-				version: version,
-				domain:  regionDomains[i%len(regionDomains)],
-				slots:   10,
+			w := &procs.Worker{
+				Name:    fmt.Sprintf("%s-%s-%d", service, version, i+1),
+				Service: service,
+				Version: version,
+				Domain:  procs.Domains[i%len(procs.Domains)],
+				Slots:   10,
 			}
-			if err := c.s.startWorker(w); err != nil {
+			if err := c.s.StartWorker(w); err != nil {
 				return err
 			}
 		}
@@ -149,26 +152,26 @@
 }
 
 func (c *scenario) publish() error {
-	c.m = firstManifest()
+	c.m = procs.NewManifest()
 	if err := c.apply(); err != nil {
 		return err
 	}
 	limit, cancel := context.WithTimeout(c.ctx, readyLimit)
 	defer cancel()
-	return c.s.ready(limit)
+	return c.s.Ready(limit)
 }
 
 // readyLimit bounds the wait for all nodes; it is far above what they need.
 const readyLimit = 30 * time.Second
 
 func (c *scenario) apply() error {
-	path, err := c.s.writeJSON("manifest.json", c.m)
+	path, err := c.s.WriteJSON("manifest.json", c.m)
 	if err != nil {
 		return err
 	}
-	out, err := c.s.command(c.ctx, "apply",
-		"--table", "http://"+c.s.table, "--objects", "http://"+c.s.objects,
-		"--peer", c.s.workers[0].peers, path)
+	out, err := c.s.Command(c.ctx, "apply",
+		"--table", "http://"+c.s.Table, "--objects", "http://"+c.s.Objects,
+		"--peer", c.s.Workers[0].Peers, path)
 	if err != nil {
 		return err
 	}
@@ -178,33 +181,33 @@
 }
 
 func (c *scenario) startLoad() error {
-	c.l = newLoad(c.o.Seed, c.s.entries())
+	c.l = procs.NewLoad(c.o.Seed, c.s.Entries())
 	go func() {
 		defer close(c.done)
-		c.l.run(c.ctx, c.o.Rate)
+		c.l.Run(c.ctx, c.o.Rate)
 	}()
 	c.pause(calm)
 	return nil
 }
 
 func (c *scenario) domainOut() error {
-	c.m.setDomain(outDomain, "out")
+	c.m.SetDomain(outDomain, "out")
 	if err := c.apply(); err != nil {
 		return err
 	}
 	c.pause(domainGrace)
-	before, err := c.s.runsIn(outDomain)
+	before, err := c.s.RunsIn(outDomain)
 	if err != nil {
 		return err
 	}
 	c.pause(domainWatch)
-	after, err := c.s.runsIn(outDomain)
+	after, err := c.s.RunsIn(outDomain)
 	c.r.Late = after - before
 	return err
 }
 
 func (c *scenario) domainBack() error {
-	c.m.setDomain(outDomain, "in")
+	c.m.SetDomain(outDomain, "in")
 	if err := c.apply(); err != nil {
 		return err
 	}
@@ -213,17 +216,17 @@
 }
 
 func (c *scenario) move() error {
-	c.m.addMove(time.Now().UTC(), moveTime)
+	c.m.AddMove(time.Now().UTC(), moveTime)
 	if err := c.apply(); err != nil {
 		return err
 	}
-	out, err := c.s.command(c.ctx, "status", "--peer", c.s.workers[0].peers,
-		"--wait", moveName, "--limit", (moveTime + readyLimit).String(), "--output", "json")
+	out, err := c.s.Command(c.ctx, "status", "--peer", c.s.Workers[0].Peers,
+		"--wait", procs.MoveName, "--limit", (moveTime + readyLimit).String(), "--output", "json")
 	if err != nil {
 		return err
 	}
 	c.r.Outcome = outcomeOf(out)
-	fmt.Fprintf(c.o.Out, "        move %s: %s\n", moveName, c.r.Outcome)
+	fmt.Fprintf(c.o.Out, "        move %s: %s\n", procs.MoveName, c.r.Outcome)
 	return nil
 }
 
@@ -240,7 +243,7 @@
 		return ""
 	}
 	for _, m := range s.Moves {
-		if m.Name == moveName {
+		if m.Name == procs.MoveName {
 			return m.Outcome
 		}
 	}
@@ -250,16 +253,14 @@
 // drainOne stops one instance as an operator would: the upstream drains, then
 // the node. Callers stop using the node first, as their balancer would.
 func (c *scenario) drainOne() error {
-	w := c.s.workers[8]
-	c.l.setEntries(without(c.s.entries(), w.callers))
+	w := c.s.Workers[8]
+	c.l.SetEntries(without(c.s.Entries(), w.Callers))
 	c.pause(calm)
-	if !w.upstream.stop() || !w.node.stop() {
+	if !w.Upstream.Stop() || !w.Node.Stop() {
 		c.r.Violations = append(c.r.Violations, "a planned stop did not end cleanly")
 	}
 	c.pause(calm)
-	c.l.mu.Lock()
-	defer c.l.mu.Unlock()
-	c.r.Cut = c.l.totals.Broken
+	c.r.Cut = c.l.Totals().Broken
 	return nil
 }
 
@@ -276,9 +277,9 @@
 // killOne ends an instance without notice. Its callers' connections break:
 // their requests are unknown.
 func (c *scenario) killOne() error {
-	w := c.s.workers[9]
-	w.kill()
-	c.l.setEntries(c.s.entries())
+	w := c.s.Workers[9]
+	w.Kill()
+	c.l.SetEntries(c.s.Entries())
 	c.pause(killWait)
 	return nil
 }
@@ -289,12 +290,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
 	defer cancel()
 	page := filepath.Join(c.o.Dir, "timeline.html")
-	_, err := c.s.command(ctx, "timeline", "--peer", c.s.workers[0].peers, "--format", "html", "--out", page)
+	_, err := c.s.Command(ctx, "timeline", "--peer", c.s.Workers[0].Peers, "--format", "html", "--out", page)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(c.o.Out, "        time line: %s\n", page)
-	out, err := c.s.command(ctx, "report", "--table", "http://"+c.s.table, "--peer", c.s.workers[0].peers)
+	out, err := c.s.Command(ctx, "report", "--table", "http://"+c.s.Table, "--peer", c.s.Workers[0].Peers)
 	fmt.Fprint(c.o.Out, indent(out))
 	return err
 }
@@ -306,17 +307,17 @@
 // stopAll stops all instances at the same time, upstreams before their nodes.
 func (c *scenario) stopAll() error {
 	var stops sync.WaitGroup
-	clean := make([]bool, len(c.s.workers))
-	for i, w := range c.s.workers {
+	clean := make([]bool, len(c.s.Workers))
+	for i, w := range c.s.Workers {
 		stops.Go(func() {
-			clean[i] = w.upstream.stopIfRunning() && w.node.stopIfRunning()
+			clean[i] = w.Upstream.StopIfRunning() && w.Node.StopIfRunning()
 		})
 	}
 	stops.Wait()
-	for i, w := range c.s.workers {
-		c.violate(!clean[i], "instance %s did not stop cleanly", w.name)
+	for i, w := range c.s.Workers {
+		c.violate(!clean[i], "instance %s did not stop cleanly", w.Name)
 	}
-	c.s.all.stopAll()
+	c.s.All.StopAll()
 	return nil
 }
 
@@ -329,27 +330,14 @@
 
 // judge compares what callers were told with what upstreams executed.
 func (c *scenario) judge() {
-	c.r.Totals = c.l.totals
-	c.l.printNotes(c.o.Out)
-	c.r.P50 = time.Duration(c.l.latency.ValueAtQuantile(50)) * time.Microsecond
-	c.r.P99 = time.Duration(c.l.latency.ValueAtQuantile(99)) * time.Microsecond
-	runs := c.s.journal()
-	missing := 0
-	for order, f := range c.l.fates {
-		n := runs[order]
-		if f.once && n > 1 {
-			c.r.Twice++
-		}
-		if f.outcome == call.NotRun && n > 0 {
-			c.r.False++
-		}
-		if f.outcome == call.Ran && n == 0 {
-			missing++
-		}
-	}
+	c.r.Totals = c.l.Totals()
+	c.l.PrintNotes(c.o.Out)
+	c.r.P50, c.r.P99 = c.l.Latency(50), c.l.Latency(99)
+	v := c.l.Judge(c.s.Journal())
+	c.r.Twice, c.r.False = v.Twice, v.False
 	c.violate(c.r.Twice > 0, "%d orders that must not run twice did", c.r.Twice)
 	c.violate(c.r.False > 0, "%d orders were reported as not run, but ran", c.r.False)
-	c.violate(missing > 0, "%d orders were reported as run, but no upstream ran them", missing)
+	c.violate(v.Missing > 0, "%d orders were reported as run, but no upstream ran them", v.Missing)
 	c.violate(c.r.Wrong > 0, "%d answers were not whole or belonged to another request", c.r.Wrong)
 	c.violate(c.r.Cut > 0, "%d requests were cut before any instance was killed", c.r.Cut)
 	c.violate(c.r.Late > 0, "%d requests ran in a failure domain that was out", c.r.Late)
@@ -363,20 +351,13 @@
 	}
 }
 
-// printNotes lists how often each kind of failure was reported to callers.
-func (l *load) printNotes(w io.Writer) {
-	for _, n := range sorted(l.notes) {
-		fmt.Fprintf(w, "        %6d  %s\n", l.notes[n], n)
-	}
-}
-
 // Print writes the result as a table.
 func (r Result) Print(w io.Writer) {
 	fmt.Fprintf(w, "\nsent %d, answered %d, failed %d, not run %d, unknown %d, broken %d\n",
 		r.Sent, r.Ran, r.Failed, r.NotRun, r.Unknown, r.Broken)
 	fmt.Fprintf(w, "run twice %d, false not run %d, wrong answers %d, cut %d, late in domain %d\n",
 		r.Twice, r.False, r.Wrong, r.Cut, r.Late)
-	fmt.Fprintf(w, "move %s: %s; latency p50 %v, p99 %v; processes left %d\n", moveName, r.Outcome, r.P50, r.P99, r.Left)
+	fmt.Fprintf(w, "move %s: %s; latency p50 %v, p99 %v; processes left %d\n", procs.MoveName, r.Outcome, r.P50, r.P99, r.Left)
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "VIOLATED:", v)
 	}
--- a/internal/demo/load.go
+++ b/internal/procs/load.go
@@ -1,11 +1,14 @@
-package demo
+package procs
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -47,10 +50,10 @@
 	Broken int `json:"broken"`
 }
 
-// fate is what the caller of one order was told.
-type fate struct {
-	outcome call.Outcome
-	once    bool
+// Fate is what the caller of one order was told.
+type Fate struct {
+	Outcome call.Outcome
+	Once    bool
 }
 
 const (
@@ -62,40 +65,45 @@
 	slowest = int64(clientLimit / time.Microsecond)
 )
 
-// load sends requests at a constant rate, whatever the answers do.
-type load struct {
+// Load sends requests at a constant rate, whatever the answers do.
+type Load struct {
 	client *http.Client
 
 	mu      sync.Mutex
 	entries []string
 	rand    *rand.Rand
 	totals  Totals
-	fates   map[string]fate
+	fates   map[string]Fate
 	latency *hdrhistogram.Histogram
 	notes   map[string]int
+	ended   int
 	sent    sync.WaitGroup
+	// Reroute makes callers try the next entry if a connection is refused:
+	// nothing has been sent then. Set it before Run.
+	Reroute bool
 }
 
-func newLoad(seed uint64, entries []string) *load {
-	return &load{
+// NewLoad returns a load that callers send to the entries.
+func NewLoad(seed uint64, entries []string) *Load {
+	return &Load{
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: clientLimit},
 		entries: entries,
 		rand:    rand.New(rand.NewPCG(seed, 1)),
-		fates:   map[string]fate{},
+		fates:   map[string]Fate{},
 		latency: hdrhistogram.New(1, slowest, 3),
 		notes:   map[string]int{},
 	}
 }
 
-// setEntries replaces the nodes that callers use.
-func (l *load) setEntries(entries []string) {
+// SetEntries replaces the nodes that callers use.
+func (l *Load) SetEntries(entries []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries = entries
 }
 
-// run sends rate requests a second until ctx ends and waits for the answers.
-func (l *load) run(ctx context.Context, rate int) {
+// Run sends rate requests a second until ctx ends and waits for the answers.
+func (l *Load) Run(ctx context.Context, rate int) {
 	t := time.NewTicker(time.Second / time.Duration(rate))
 	defer t.Stop()
 	for n := 0; ; n++ {
@@ -114,7 +122,7 @@
 	}
 }
 
-func (l *load) draw() (kind, string) {
+func (l *Load) draw() (kind, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.totals.Sent++
@@ -129,7 +137,37 @@
 	return kinds[0], entry
 }
 
-func (l *load) send(k kind, entry, order string) {
+// send sends one request, with Reroute to every entry until one accepts the
+// connection.
+func (l *Load) send(k kind, entry, order string) {
+	err := l.try(k, entry, order)
+	if l.Reroute {
+		for _, e := range l.list() {
+			if !refused(err) {
+				break
+			}
+			err = l.try(k, e, order)
+		}
+	}
+	if err != nil {
+		l.broken(order, k, err)
+	}
+}
+
+func (l *Load) list() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.entries)
+}
+
+// refused reports whether no connection was made, so that nothing was sent.
+func refused(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "dial"
+}
+
+// try sends a request to one entry. Its error means that there was no answer.
+func (l *Load) try(k kind, entry, order string) error {
 	req, err := http.NewRequest(k.method, "http://"+entry+k.path, strings.NewReader(body(k, order)))
 	if err != nil {
 		panic(err)
@@ -140,12 +178,12 @@
 	began := time.Now()
 	resp, err := l.client.Do(req)
 	if err != nil {
-		l.broken(order, k, err)
-		return
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(resp.Body)
 	l.record(k, order, resp, string(answer), err, time.Since(began))
+	return nil
 }
 
 func body(k kind, order string) string {
@@ -155,12 +193,13 @@
 	return "order " + order
 }
 
-func (l *load) broken(order string, k kind, err error) {
+func (l *Load) broken(order string, k kind, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ended++
 	l.totals.Broken++
 	l.notes["broken connection: "+errorKind(err)]++
-	l.fates[order] = fate{outcome: call.Unknown, once: k.method == http.MethodPost}
+	l.fates[order] = Fate{Outcome: call.Unknown, Once: k.method == http.MethodPost}
 }
 
 // errorKind shortens an error to its last part, which tells the kind.
@@ -169,11 +208,12 @@
 	return strings.TrimSpace(text[strings.LastIndex(text, ":")+1:])
 }
 
-func (l *load) record(k kind, order string, resp *http.Response, answer string, err error, took time.Duration) {
+func (l *Load) record(k kind, order string, resp *http.Response, answer string, err error, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ended++
 	o := call.Outcome(resp.Header.Get(call.HeaderOutcome))
-	l.fates[order] = fate{outcome: o, once: k.method == http.MethodPost}
+	l.fates[order] = Fate{Outcome: o, Once: k.method == http.MethodPost}
 	switch {
 	case o == call.Ran && resp.StatusCode != http.StatusOK:
 		l.totals.Failed++
--- a/internal/demo/manifest.go
+++ b/internal/procs/manifest.go
@@ -1,13 +1,13 @@
-package demo
+package procs
 
 import "time"
 
-// moveName names the version move of the demo.
-const moveName = "counter-v2"
+// MoveName names the version move of AddMove.
+const MoveName = "counter-v2"
 
-// manifest is written as a build pipeline would write it, without using the
+// Manifest is written as a build pipeline would write it, without using the
 // product's own types.
-type manifest struct {
+type Manifest struct {
 	Name     string          `json:"name"`
 	Domains  []domainItem    `json:"domains"`
 	Services []serviceItem   `json:"services"`
@@ -54,8 +54,9 @@
 	Path  string  `json:"path"`
 }
 
-func firstManifest() manifest {
-	m := manifest{
+// NewManifest returns a manifest with two services and all domains in.
+func NewManifest() Manifest {
+	m := Manifest{
 		Name: "montevideo",
 		Services: []serviceItem{
 			{Name: "counter", Version: "v1", Timeout: "3s", Routes: []routeItem{
@@ -70,13 +71,14 @@
 		},
 		Measure: measureSettings{Rate: 2, Burst: 2, Path: "/health"},
 	}
-	for _, d := range regionDomains {
+	for _, d := range Domains {
 		m.Domains = append(m.Domains, domainItem{Name: d, Region: region, State: "in"})
 	}
 	return m
 }
 
-func (m *manifest) setDomain(name, state string) {
+// SetDomain takes a failure domain in or out.
+func (m *Manifest) SetDomain(name, state string) {
 	for i := range m.Domains {
 		if m.Domains[i].Name == name {
 			m.Domains[i].State = state
@@ -84,10 +86,11 @@
 	}
 }
 
-// addMove adds the move with stages that fit the short time of the demo.
-func (m *manifest) addMove(start time.Time, length time.Duration) {
+// AddMove adds a move of counter from v1 to v2 with stages that fit a short
+// run.
+func (m *Manifest) AddMove(start time.Time, length time.Duration) {
 	m.Moves = append(m.Moves, moveItem{
-		Name:     moveName,
+		Name:     MoveName,
 		Service:  "counter",
 		From:     "v1",
 		To:       "v2",
--- a/internal/demo/process.go
+++ b/internal/procs/process.go
@@ -1,7 +1,7 @@
-// Package demo starts a whole system as processes on loopback, sends load to
-// it, makes parts of it fail and checks the promises that it observes. It is
-// a test program and not part of the product's binary.
-package demo
+// Package procs starts a whole system as processes on loopback, sends load to
+// it and compares what callers were told with what upstreams executed. It
+// serves the demo and the failure tests and is not part of the product.
+package procs
 
 import (
 	"bufio"
@@ -22,9 +22,9 @@
 // stopLimit bounds the wait for a process after SIGTERM.
 const stopLimit = 30 * time.Second
 
-// process is one started process. Its output goes to a log file; lines that
-// start with a watched prefix are also handed to a function.
-type process struct {
+// Process is one started process. Its output goes to a log file; lines that
+// Start with a watched prefix are also handed to a function.
+type Process struct {
 	name string
 	cmd  *exec.Cmd
 	log  *os.File
@@ -32,18 +32,19 @@
 	err  error
 }
 
-// watch receives the lines of a process that start with its prefix.
-type watch struct {
+// Watch receives the lines of a process that start with its prefix.
+type Watch struct {
 	prefix string
 	line   func(string)
 }
 
-func start(dir, name string, w watch, program string, args ...string) (*process, error) {
+// Start starts a program whose output goes to a log file in dir.
+func Start(dir, name string, w Watch, program string, args ...string) (*Process, error) {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, oops.With("step", "start", "peer", name).Wrap(err)
 	}
-	p := &process{name: name, log: log, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p := &Process{name: name, log: log, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stderr = log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -61,7 +62,7 @@
 	return p, nil
 }
 
-func copyLines(from io.Reader, to io.Writer, w watch) {
+func copyLines(from io.Reader, to io.Writer, w Watch) {
 	s := bufio.NewScanner(from)
 	for s.Scan() {
 		line := s.Text()
@@ -72,8 +73,8 @@
 	}
 }
 
-// signal sends a signal to the process; one that has ended is no error.
-func (p *process) signal(s syscall.Signal) error {
+// Signal sends a signal to the process; one that has ended is no error.
+func (p *Process) Signal(s syscall.Signal) error {
 	err := p.cmd.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
@@ -81,31 +82,31 @@
 	return err
 }
 
-// kill ends the process at once.
-func (p *process) kill() {
-	_ = p.signal(syscall.SIGKILL)
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.Signal(syscall.SIGKILL)
 	<-p.done
 }
 
-// stop ends the process by SIGTERM and reports whether it ended by itself.
-func (p *process) stop() bool {
-	_ = p.signal(syscall.SIGTERM)
+// Stop ends the process by SIGTERM and reports whether it ended by itself.
+func (p *Process) Stop() bool {
+	_ = p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
 		return p.err == nil
 	case <-time.After(stopLimit):
-		p.kill()
+		p.Kill()
 		return false
 	}
 }
 
-// stopIfRunning stops a process that has not ended before.
-func (p *process) stopIfRunning() bool {
-	return !p.running() || p.stop()
+// StopIfRunning stops a process that has not ended before.
+func (p *Process) StopIfRunning() bool {
+	return !p.Running() || p.Stop()
 }
 
-// running reports whether the process has not ended.
-func (p *process) running() bool {
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
 	select {
 	case <-p.done:
 		return false
@@ -114,34 +115,34 @@
 	}
 }
 
-// processes keeps what was started, so that nothing is left behind.
-type processes struct {
+// Group keeps what was started, so that nothing is left behind.
+type Group struct {
 	mu  sync.Mutex
-	all []*process
+	all []*Process
 }
 
-func (s *processes) add(p *process) {
+func (s *Group) add(p *Process) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all = append(s.all, p)
 }
 
-// killAll ends whatever still runs and returns how many had to be ended.
-func (s *processes) killAll() int {
+// KillAll ends whatever still runs and returns how many had to be ended.
+func (s *Group) KillAll() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left := 0
 	for _, p := range s.all {
-		if p.running() {
+		if p.Running() {
 			left++
-			p.kill()
+			p.Kill()
 		}
 	}
 	return left
 }
 
-// run executes a short command and returns its output.
-func run(ctx context.Context, program string, args ...string) (string, error) {
+// Run executes a short command and returns its output.
+func Run(ctx context.Context, program string, args ...string) (string, error) {
 	out, err := exec.CommandContext(ctx, program, args...).CombinedOutput()
 	if err != nil {
 		return string(out), oops.With("step", "run", "peer", filepath.Base(program)).Wrapf(err, "%s: %s", strings.Join(args, " "), out)
@@ -149,13 +150,13 @@
 	return string(out), nil
 }
 
-// stopAll asks whatever still runs to end.
-func (s *processes) stopAll() {
+// StopAll asks whatever still runs to end.
+func (s *Group) StopAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.all {
-		if p.running() {
-			p.stop()
+		if p.Running() {
+			p.Stop()
 		}
 	}
 }
