Keep net/http from resending a GET that must not run twice

net/http resends GET, HEAD and OPTIONS by itself when a reused connection breaks before the first answer byte. The exit used an empty body that can be rewound for them, so a GET marked Cicadahall-Idempotent: false ran twice on the upstream, and resends of other GETs went past the retry budget and the attempts of the chain.

Found while looking for three false "not run" in a test that restarts the whole system: there the test's own client had resent GETs in the same way.

The new test in internal/entry saw 3 executions instead of 2 before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -327,6 +327,22 @@
 	assert.Equal(t, hits.Load(), int32(1))
 }
 
+// Guards against net/http resending on its own a GET that must not run twice
+// when a reused connection to the upstream breaks.
+func TestGetThatRunsOnceIsNotResentOnReusedConnection(t *testing.T) {
+	var hits atomic.Int32
+	n := newNetwork(t, func(w http.ResponseWriter, r *http.Request) {
+		if hits.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		ok(w, r)
+	})
+	assert.Equal(t, n.send(http.MethodGet).outcome, call.Ran)
+	a := n.send(http.MethodGet, call.HeaderIdempotent, "false")
+	assert.Equal(t, a.outcome, call.Unknown)
+	assert.Equal(t, hits.Load(), int32(2))
+}
+
 // Guards against an unknown outcome for a request that the upstream itself
 // refused before running it.
 func TestShedRequestRunsElsewhere(t *testing.T) {
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -108,13 +109,17 @@
 	return body, nil
 }
 
+// resent are the methods of requests that net/http resends on its own.
+var resent = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+
 // request builds the upstream's request.
 //
 // net/http resends a request on its own after a broken connection if the
 // request has a header named Idempotency-Key or a method without side
-// effects. Resending is this system's decision, so the key is set under a
-// spelling that the transport doesn't look up, and a body that can't be
-// rewound keeps every other method from being resent.
+// effects, unless its body can't be rewound. Resending is this system's
+// decision: even a GET may be one that must not run twice. So the key is set
+// under a spelling that the transport doesn't look up, and no body can be
+// rewound, not even an empty one.
 func request(ctx context.Context, address string, q *wirepb.CallRequest) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, q.GetMethod(), "http://"+address+q.GetPath(), http.NoBody)
 	if err != nil {
@@ -124,6 +129,12 @@
 		req.Body = io.NopCloser(bytes.NewReader(q.GetBody()))
 		req.ContentLength = int64(len(q.GetBody()))
 	}
+	if len(q.GetBody()) == 0 && slices.Contains(resent, q.GetMethod()) {
+		// The encoding "identity" keeps the transport from sending an empty
+		// chunked body.
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+		req.TransferEncoding = []string{"identity"}
+	}
 	req.GetBody = nil
 	call.Restore(req.Header, q.GetHeaders())
 	if key := req.Header.Get(call.HeaderKey); key != "" {
