Let a request queue when a service has fewer members than tries

The last try, which may queue at the exit, came only after three refusals.

The placement now sends the last try early if every member has refused. The new test got 1 of 4 requests run before and gets 4 now.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -343,6 +343,21 @@
 	assert.Equal(t, hits.Load(), int32(2))
 }
 
+// Guards against refusing a request that could wait for a slot, because the
+// service has fewer members than there are tries before the last one.
+func TestLoneMemberQueuesInsteadOfRefusing(t *testing.T) {
+	n := newNetwork(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		ok(w, r)
+	})
+	var sent sync.WaitGroup
+	for range 4 {
+		sent.Go(func() { assert.Check(t, n.send(http.MethodPost).outcome == call.Ran) })
+	}
+	sent.Wait()
+	assert.Equal(t, n.runs(), 4)
+}
+
 // Guards against an unknown outcome for a request that the upstream itself
 // refused before running it.
 func TestShedRequestRunsElsewhere(t *testing.T) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -40,6 +40,8 @@
 	flying  int
 	// last is the latest end of a copy, whose reason the caller is told.
 	last copyEnd
+	// queued is set once a copy was sent that may queue at the exit.
+	queued bool
 	// doubt is set once a copy has ended with an unknown outcome.
 	doubt bool
 }
@@ -111,7 +113,7 @@
 	case retry.Deliver:
 		return p.last.answer
 	case retry.Elsewhere:
-		if p.send(ctx, a.Last) || p.flying > 0 {
+		if p.send(ctx, a.Last) || p.flying > 0 || p.queue(ctx) {
 			return nil
 		}
 		return p.giveUp(p.proved())
@@ -125,6 +127,16 @@
 	}
 }
 
+// queue sends the last try early, if every member has refused before the plan
+// came to it: a service may have fewer members than a request has tries.
+func (p *placement) queue(ctx context.Context) bool {
+	if p.queued || p.last.answer.GetOutcome() != wirepb.Outcome_OUTCOME_REFUSED {
+		return false
+	}
+	p.queued = true
+	return p.send(ctx, true)
+}
+
 // proved returns what is known if no copy is left.
 func (p *placement) proved() retry.Outcome {
 	if p.doubt {
@@ -180,6 +192,7 @@
 	m := p.message(t, chain, last)
 	p.copies++
 	p.flying++
+	p.queued = p.queued || last
 	p.tried = append(p.tried, t.Member.Node)
 	p.e.chooser.Sent(t.Member.Node, now)
 	p.e.running.Add(1)
