Spend the last try on a member that was full, not on one that is down

After three refusals the last try chose among all members again.

Members that refused for another reason than a lack of slots are now left out of the last try.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/event"
@@ -352,12 +353,37 @@
 	})
 	var sent sync.WaitGroup
 	for range 4 {
-		sent.Go(func() { assert.Check(t, n.send(http.MethodPost).outcome == call.Ran) })
+		sent.Go(func() { assert.Check(t, cmp.Equal(n.send(http.MethodPost).outcome, call.Ran)) })
 	}
 	sent.Wait()
 	assert.Equal(t, n.runs(), 4)
 }
 
+// Guards against refusing a request because the connection to the only member
+// was silent, while a new connection works.
+func TestSilentConnectionToLoneMember(t *testing.T) {
+	n := newNetwork(t, ok)
+	n.setCall(first(silent, deliver))
+	assert.Equal(t, n.send(http.MethodPost).outcome, call.Ran)
+	assert.Equal(t, n.runs(), 1)
+}
+
+// Guards against spending the last try on a member that refuses everything,
+// which looks idle, instead of waiting at one that was full.
+func TestLastTryWaitsWhereASlotWillBeFree(t *testing.T) {
+	n := newNetwork(t, ok, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		ok(w, r)
+	})
+	n.members["a"].exit.WithdrawUpstream()
+	var sent sync.WaitGroup
+	for range 8 {
+		sent.Go(func() { assert.Check(t, cmp.Equal(n.send(http.MethodPost).outcome, call.Ran)) })
+	}
+	sent.Wait()
+	assert.Equal(t, n.runs(), 8)
+}
+
 // Guards against an unknown outcome for a request that the upstream itself
 // refused before running it.
 func TestShedRequestRunsElsewhere(t *testing.T) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -36,8 +36,10 @@
 	plan    *retry.Plan
 	ends    chan copyEnd
 	tried   []ident.Node
-	copies  int
-	flying  int
+	// closed are those of tried to which the last try must not go.
+	closed []ident.Node
+	copies int
+	flying int
 	// last is the latest end of a copy, whose reason the caller is told.
 	last copyEnd
 	// queued is set once a copy was sent that may queue at the exit.
@@ -145,12 +147,24 @@
 	return retry.NotRun
 }
 
+// passing are the reasons of refusals after which the same member may run the
+// request if it gets more time or another connection.
+var passing = []wirepb.Reason{
+	wirepb.Reason_REASON_FULL,
+	wirepb.Reason_REASON_SHED,
+	wirepb.Reason_REASON_CANCELLED,
+	wirepb.Reason_REASON_DUPLICATE,
+}
+
 // ended learns from the end of a copy and asks the plan what follows.
 func (p *placement) ended(end copyEnd) retry.Action {
 	p.flying--
 	p.last = end
 	p.e.learn(p.q.service, end)
 	o := retry.Outcome(end.answer.GetOutcome())
+	if o != retry.NotRun || !slices.Contains(passing, end.answer.GetReason()) {
+		p.closed = append(p.closed, end.node)
+	}
 	p.doubt = p.doubt || o == retry.Unknown
 	return p.next(o, retry.Reason(end.answer.GetReason()), time.Now())
 }
@@ -205,7 +219,7 @@
 }
 
 // target chooses the member of the next copy. A caller's key binds a request
-// to the key's home. The last try may queue at a member that refused before.
+// to the key's home. The last try may queue at a member that was full before.
 func (p *placement) target(last bool, now time.Time) (Target, bool) {
 	if p.q.key != "" {
 		return p.home()
@@ -213,7 +227,7 @@
 	q := choose.Query{Service: p.q.service, Version: p.version, Tried: p.tried}
 	pick, ok := p.e.chooser.Choose(q, now)
 	if !ok && last {
-		q.Tried = nil
+		q.Tried = p.closed
 		pick, ok = p.e.chooser.Choose(q, now)
 	}
 	if !ok {
