--- a/internal/procs/load.go
+++ b/internal/procs/load.go
@@ -77,6 +77,7 @@
 	latency *hdrhistogram.Histogram
 	notes   map[string]int
 	ended   int
+	flying  map[string]int
 	sent    sync.WaitGroup
 	// Reroute makes callers try the next entry if a connection is refused:
 	// nothing has been sent then. Set it before Run.
@@ -92,6 +93,7 @@
 		fates:   map[string]Fate{},
 		latency: hdrhistogram.New(1, slowest, 3),
 		notes:   map[string]int{},
+		flying:  map[string]int{},
 	}
 }
 
@@ -116,6 +118,7 @@
 			l.sent.Add(1)
 			go func() {
 				defer l.sent.Done()
+				defer l.leave(entry)
 				l.send(k, entry, fmt.Sprintf("%s-%06d", k.name, n))
 			}()
 		}
@@ -127,6 +130,7 @@
 	defer l.mu.Unlock()
 	l.totals.Sent++
 	entry := l.entries[l.rand.IntN(len(l.entries))]
+	l.flying[entry]++
 	x := l.rand.Float64()
 	for _, k := range kinds {
 		if x < k.share {
@@ -160,6 +164,20 @@
 	return slices.Clone(l.entries)
 }
 
+func (l *Load) leave(entry string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flying[entry]--
+}
+
+// Uses reports whether callers send to an entry or wait for its answers. With
+// Reroute it may miss requests whose first entry refused the connection.
+func (l *Load) Uses(entry string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.entries, entry) || l.flying[entry] > 0
+}
+
 // refused reports whether no connection was made, so that nothing was sent.
 func refused(err error) bool {
 	var oe *net.OpError
@@ -172,6 +190,10 @@
 	if err != nil {
 		panic(err)
 	}
+	// net/http resends a GET on its own after a reused connection breaks,
+	// unless its body can't be rewound. Two requests with one order number
+	// would look like a fault of the system.
+	req.Body, req.GetBody = io.NopCloser(strings.NewReader(body(k, order))), nil
 	req.Header.Set(call.HeaderService, k.service)
 	req.Header.Set(call.HeaderTimeout, clientTimeout)
 	req.Header.Set(stand.HeaderOrder, order)
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// tailSize is how much of a log Tail returns, in bytes.
+const tailSize = 600
+
+// Tail returns the end of the process's log.
+func (p *Process) Tail() string {
+	text, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-tailSize):])
+}
+
 // Group keeps what was started, so that nothing is left behind.
 type Group struct {
 	mu  sync.Mutex
--- a/internal/procs/system.go
+++ b/internal/procs/system.go
@@ -215,13 +215,9 @@
 const pollInterval = 50 * time.Millisecond
 
 func waitReady(ctx context.Context, w *Worker) error {
-	for {
-		resp, err := http.Get("http://" + w.Admin + "/ready")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+	for !w.Ready() {
+		if !w.Node.Running() {
+			return oops.With("step", "ready", "peer", w.Name).Errorf("node has ended: %s", w.Node.Tail())
 		}
 		select {
 		case <-ctx.Done():
@@ -229,6 +225,17 @@
 		case <-time.After(pollInterval):
 		}
 	}
+	return nil
+}
+
+// Ready reports whether the node asks callers to use it.
+func (w *Worker) Ready() bool {
+	resp, err := http.Get("http://" + w.Admin + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // Entries returns the callers' addresses of all nodes that run.
--- a/internal/procs/verdict.go
+++ b/internal/procs/verdict.go
@@ -60,6 +60,13 @@
 	return time.Duration(l.latency.ValueAtQuantile(percentile)) * time.Microsecond
 }
 
+// Note returns how often one kind of failure was reported to callers.
+func (l *Load) Note(kind string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.notes[kind]
+}
+
 // PrintNotes lists how often each kind of failure was reported to callers.
 func (l *Load) PrintNotes(w io.Writer) {
 	l.mu.Lock()
