--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/event"
@@ -327,6 +328,62 @@
 	assert.Equal(t, hits.Load(), int32(1))
 }
 
+// Guards against net/http resending on its own a GET that must not run twice
+// when a reused connection to the upstream breaks.
+func TestGetThatRunsOnceIsNotResentOnReusedConnection(t *testing.T) {
+	var hits atomic.Int32
+	n := newNetwork(t, func(w http.ResponseWriter, r *http.Request) {
+		if hits.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		ok(w, r)
+	})
+	assert.Equal(t, n.send(http.MethodGet).outcome, call.Ran)
+	a := n.send(http.MethodGet, call.HeaderIdempotent, "false")
+	assert.Equal(t, a.outcome, call.Unknown)
+	assert.Equal(t, hits.Load(), int32(2))
+}
+
+// Guards against refusing a request that could wait for a slot, because the
+// service has fewer members than there are tries before the last one.
+func TestLoneMemberQueuesInsteadOfRefusing(t *testing.T) {
+	n := newNetwork(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		ok(w, r)
+	})
+	var sent sync.WaitGroup
+	for range 4 {
+		sent.Go(func() { assert.Check(t, cmp.Equal(n.send(http.MethodPost).outcome, call.Ran)) })
+	}
+	sent.Wait()
+	assert.Equal(t, n.runs(), 4)
+}
+
+// Guards against refusing a request because the connection to the only member
+// was silent, while a new connection works.
+func TestSilentConnectionToLoneMember(t *testing.T) {
+	n := newNetwork(t, ok)
+	n.setCall(first(silent, deliver))
+	assert.Equal(t, n.send(http.MethodPost).outcome, call.Ran)
+	assert.Equal(t, n.runs(), 1)
+}
+
+// Guards against spending the last try on a member that refuses everything,
+// which looks idle, instead of waiting at one that was full.
+func TestLastTryWaitsWhereASlotWillBeFree(t *testing.T) {
+	n := newNetwork(t, ok, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		ok(w, r)
+	})
+	n.members["a"].exit.WithdrawUpstream()
+	var sent sync.WaitGroup
+	for range 8 {
+		sent.Go(func() { assert.Check(t, cmp.Equal(n.send(http.MethodPost).outcome, call.Ran)) })
+	}
+	sent.Wait()
+	assert.Equal(t, n.runs(), 8)
+}
+
 // Guards against an unknown outcome for a request that the upstream itself
 // refused before running it.
 func TestShedRequestRunsElsewhere(t *testing.T) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -37,10 +37,14 @@
 	plan    *retry.Plan
 	ends    chan copyEnd
 	tried   []ident.Node
-	copies  int
-	flying  int
+	// closed are those of tried to which the last try must not go.
+	closed []ident.Node
+	copies int
+	flying int
 	// last is the latest end of a copy, whose reason the caller is told.
 	last copyEnd
+	// queued is set once a copy was sent that may queue at the exit.
+	queued bool
 	// doubt is set once a copy has ended with an unknown outcome.
 	doubt bool
 }
@@ -112,7 +116,7 @@
 	case retry.Deliver:
 		return p.last.answer
 	case retry.Elsewhere:
-		if p.send(ctx, a.Last) || p.flying > 0 {
+		if p.send(ctx, a.Last) || p.flying > 0 || p.queue(ctx) {
 			return nil
 		}
 		return p.giveUp(p.proved())
@@ -126,6 +130,16 @@
 	}
 }
 
+// queue sends the last try early, if every member has refused before the plan
+// came to it: a service may have fewer members than a request has tries.
+func (p *placement) queue(ctx context.Context) bool {
+	if p.queued || p.last.answer.GetOutcome() != wirepb.Outcome_OUTCOME_REFUSED {
+		return false
+	}
+	p.queued = true
+	return p.send(ctx, true)
+}
+
 // proved returns what is known if no copy is left.
 func (p *placement) proved() retry.Outcome {
 	if p.doubt {
@@ -134,12 +148,24 @@
 	return retry.NotRun
 }
 
+// passing are the reasons of refusals after which the same member may run the
+// request if it gets more time or another connection.
+var passing = []wirepb.Reason{
+	wirepb.Reason_REASON_FULL,
+	wirepb.Reason_REASON_SHED,
+	wirepb.Reason_REASON_CANCELLED,
+	wirepb.Reason_REASON_DUPLICATE,
+}
+
 // ended learns from the end of a copy and asks the plan what follows.
 func (p *placement) ended(end copyEnd) retry.Action {
 	p.flying--
 	p.last = end
 	p.e.learn(p.q.service, end)
 	o := retry.Outcome(end.answer.GetOutcome())
+	if o != retry.NotRun || !slices.Contains(passing, end.answer.GetReason()) {
+		p.closed = append(p.closed, end.node)
+	}
 	p.doubt = p.doubt || o == retry.Unknown
 	return p.next(o, retry.Reason(end.answer.GetReason()), mono.Now())
 }
@@ -181,6 +207,7 @@
 	m := p.message(t, chain, last)
 	p.copies++
 	p.flying++
+	p.queued = p.queued || last
 	p.tried = append(p.tried, t.Member.Node)
 	p.e.chooser.Sent(t.Member.Node, now)
 	p.e.running.Add(1)
@@ -193,7 +220,7 @@
 }
 
 // target chooses the member of the next copy. A caller's key binds a request
-// to the key's home. The last try may queue at a member that refused before.
+// to the key's home. The last try may queue at a member that was full before.
 func (p *placement) target(last bool, now time.Time) (Target, bool) {
 	if p.q.key != "" {
 		return p.home()
@@ -201,7 +228,7 @@
 	q := choose.Query{Service: p.q.service, Version: p.version, Tried: p.tried}
 	pick, ok := p.e.chooser.Choose(q, now)
 	if !ok && last {
-		q.Tried = nil
+		q.Tried = p.closed
 		pick, ok = p.e.chooser.Choose(q, now)
 	}
 	if !ok {
--- /dev/null
+++ b/internal/procs/process.go
@@ -0,0 +1,174 @@
+// Package procs starts a whole system as processes on loopback, sends load to
+// it and compares what callers were told with what upstreams executed. It
+// serves the demo and the failure tests and is not part of the product.
+package procs
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// stopLimit bounds the wait for a process after SIGTERM.
+const stopLimit = 30 * time.Second
+
+// Process is one started process. Its output goes to a log file; lines that
+// Start with a watched prefix are also handed to a function.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	err  error
+}
+
+// Watch receives the lines of a process that start with its prefix.
+type Watch struct {
+	prefix string
+	line   func(string)
+}
+
+// Start starts a program whose output goes to a log file in dir.
+func Start(dir, name string, w Watch, program string, args ...string) (*Process, error) {
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, oops.With("step", "start", "peer", name).Wrap(err)
+	}
+	p := &Process{name: name, log: log, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p.cmd.Stderr = log
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, oops.With("step", "start", "peer", name).Wrap(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, oops.With("step", "start", "peer", name).Wrap(err)
+	}
+	go func() {
+		defer close(p.done)
+		copyLines(out, log, w)
+		p.err = p.cmd.Wait()
+		_ = log.Close()
+	}()
+	return p, nil
+}
+
+func copyLines(from io.Reader, to io.Writer, w Watch) {
+	s := bufio.NewScanner(from)
+	for s.Scan() {
+		line := s.Text()
+		if w.line != nil && strings.HasPrefix(line, w.prefix) {
+			w.line(line[len(w.prefix):])
+		}
+		_, _ = io.WriteString(to, line+"\n")
+	}
+}
+
+// Signal sends a signal to the process; one that has ended is no error.
+func (p *Process) Signal(s syscall.Signal) error {
+	err := p.cmd.Process.Signal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop ends the process by SIGTERM and reports whether it ended by itself.
+func (p *Process) Stop() bool {
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err == nil
+	case <-time.After(stopLimit):
+		p.Kill()
+		return false
+	}
+}
+
+// StopIfRunning stops a process that has not ended before.
+func (p *Process) StopIfRunning() bool {
+	return !p.Running() || p.Stop()
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// tailSize is how much of a log Tail returns, in bytes.
+const tailSize = 600
+
+// Tail returns the end of the process's log.
+func (p *Process) Tail() string {
+	text, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-tailSize):])
+}
+
+// Group keeps what was started, so that nothing is left behind.
+type Group struct {
+	mu  sync.Mutex
+	all []*Process
+}
+
+func (s *Group) add(p *Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, p)
+}
+
+// KillAll ends whatever still runs and returns how many had to be ended.
+func (s *Group) KillAll() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := 0
+	for _, p := range s.all {
+		if p.Running() {
+			left++
+			p.Kill()
+		}
+	}
+	return left
+}
+
+// Run executes a short command and returns its output.
+func Run(ctx context.Context, program string, args ...string) (string, error) {
+	out, err := exec.CommandContext(ctx, program, args...).CombinedOutput()
+	if err != nil {
+		return string(out), oops.With("step", "run", "peer", filepath.Base(program)).Wrapf(err, "%s: %s", strings.Join(args, " "), out)
+	}
+	return string(out), nil
+}
+
+// StopAll asks whatever still runs to end.
+func (s *Group) StopAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.all {
+		if p.Running() {
+			p.Stop()
+		}
+	}
+}
