--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -29,8 +29,8 @@
 	datagramOverhead = 28
 	// callOverhead estimates the HTTP headers of one message, in bytes.
 	callOverhead = 250
-	// inboxMost is how many datagrams the socket of a frozen process holds.
-	inboxMost = 200
+	// inbox is how many datagrams the socket of a frozen process holds.
+	inbox = 200
 )
 
 var errCut = errors.New("peer can't be reached")
@@ -84,6 +84,8 @@
 	Hosts  []*Host
 	// Seeds are the addresses that starting hosts join by.
 	Seeds []string
+	// Inbox is how many datagrams the socket of a frozen process holds.
+	Inbox int
 	// Adopt, if set, is how long a host takes to adopt a heard configuration.
 	Adopt time.Duration
 
@@ -99,6 +101,7 @@
 		clock:     clock{now: time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)},
 		random:    rand.New(rand.NewPCG(seed, seed)),
 		addresses: map[string]*Host{},
+		Inbox:     inbox,
 	}
 	for i := range size {
 		h := &Host{Changes: map[member.State]int{}, record: recordOf(i)}
@@ -276,7 +279,7 @@
 		receive()
 		return
 	}
-	if len(to.inbox) < inboxMost {
+	if len(to.inbox) < n.Inbox {
 		to.inbox = append(to.inbox, receive)
 	}
 }
--- a/member/failure_test.go
+++ b/member/failure_test.go
@@ -148,20 +148,29 @@
 }
 
 // Guards against a frozen node that blames all others when it resumes, because
-// its timeouts passed while it didn't run, and against it staying unreachable.
+// its timeouts passed while it didn't run and its socket dropped the answers,
+// and against it staying unreachable.
 func TestFrozenNodeResumes(t *testing.T) {
 	for _, pause := range []time.Duration{3 * time.Second, time.Minute} {
-		n := started(60)
-		h := n.Hosts[23]
-		n.Freeze(h)
-		n.Run(pause)
-		assert.Equal(t, all(n, h, member.Unreachable), pause == time.Minute, pause)
-		lost, suspected := calledLost(n)
-		n.Resume(h)
-		until(t, n, time.Minute, n.Settled)
-		n.Run(time.Minute)
-		assert.Equal(t, *lost, 0, pause)
-		assert.Equal(t, *suspected, 0, pause)
+		for _, inbox := range []int{0, 200} {
+			n := started(60)
+			n.Inbox = inbox
+			h := n.Hosts[23]
+			until(t, n, 10*time.Second, func() bool {
+				before := h.Traffic.Sent
+				n.Run(time.Millisecond)
+				return h.Traffic.Sent > before // a ping or an ack has just left
+			})
+			n.Freeze(h)
+			n.Run(pause)
+			assert.Equal(t, all(n, h, member.Unreachable), pause == time.Minute, pause)
+			lost, suspected := calledLost(n)
+			n.Resume(h)
+			until(t, n, time.Minute, n.Settled)
+			n.Run(time.Minute)
+			assert.Equal(t, *lost, 0, pause)
+			assert.Equal(t, *suspected, 0, pause)
+		}
 	}
 }
 
