move: tests of the clock bound, the outcome and merges; make long-moves

Cause: mutations showed that the state-machine test missed a 'reverted' that a fast clock issues early, a 'done' that a slow clock issues late, and an outcome that changes. Ruled out: the coarse 250 ms steps and the 2 s commit spread of the test, which hid both; steps are 100 ms and commits come at once now. Conclusion: outcome and clock bound are guarded.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,9 @@
 
 clean:
 	rm -rf bin out
+
+# long-moves runs the large seeded trial of version moves: 1,008 good and 24 bad
+# moves of each kind. It takes up to 20 minutes on 5 cores.
+.PHONY: long-moves
+long-moves:
+	$(GO) test -count=1 -v -timeout 60m ./internal/trial -args -moves=24
--- a/move/machine_test.go
+++ b/move/machine_test.go
@@ -44,6 +44,7 @@
 	movers  []*move.Mover
 	skew    []time.Duration
 	latched []bool
+	known   []move.Outcome
 	mail    []move.Evidence
 	starts  ident.Start
 	// faulty tells that some node has latched; row is the first final row.
@@ -53,7 +54,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{fake: fakes.NewStore(), now: begin, movers: make([]*move.Mover, nodes)}
-	w.latched = make([]bool, nodes)
+	w.latched, w.known = make([]bool, nodes), make([]move.Outcome, nodes)
 	w.rand = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 	w.fake.SetFault(func() fakes.Fault { return w.fault })
 	for i := range w.movers {
@@ -68,7 +69,8 @@
 	var m *move.Mover
 	m, err := move.New(move.Options{
 		Plan: plan(), Node: ident.Node(rune('a' + i)), Start: w.starts, Rand: w.rand.Float64,
-		Spread: 2 * time.Second,
+		// Commits come at once, at the edges of what the clocks allow.
+		Spread: time.Millisecond,
 		Commit: func(p move.Proposal) { w.commit(m, i, p) },
 		Read: func() {
 			r, res := w.fake.Table().Get(context.Background(), m.Key())
@@ -79,7 +81,7 @@
 		panic(err)
 	}
 	w.movers[i] = m
-	w.latched[i] = false
+	w.latched[i], w.known[i] = false, move.Open
 }
 
 func (w *world) local(i int) time.Time {
@@ -107,7 +109,7 @@
 // tick advances time in steps, because the shell ticks all the time.
 func (w *world) tick(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
-		w.now = w.now.Add(250 * time.Millisecond)
+		w.now = w.now.Add(100 * time.Millisecond)
 		for i, m := range w.movers {
 			m.Tick(w.local(i))
 			w.faulty = w.faulty || m.Fault().Set
@@ -160,6 +162,8 @@
 		w.faulty = w.faulty || m.Fault().Set
 		assert.Assert(t, m.Fault().Set || !w.latched[i], "the latch was cleared")
 		w.latched[i] = m.Fault().Set
+		assert.Assert(t, w.known[i] == move.Open || w.known[i] == m.Outcome(), "the outcome changed")
+		w.known[i] = m.Outcome()
 		w.checkShare(t, m, w.local(i))
 	}
 	for i := 1; i < nodes; i++ {
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -78,6 +78,8 @@
 	good := mover("x")
 	feed(good, "v1", 3, 1, time.Millisecond, begin)
 	row := good.Evidence().Rows[0]
+	long := move.Row{Node: "x", Start: 1, Counters: append(append([]byte{}, row.Counters...), 0)}
+	assert.ErrorIs(t, mover("y").Merge(move.Evidence{Move: "m", Rows: []move.Row{long}}), move.ErrCounters)
 	rapid.Check(t, func(t *rapid.T) {
 		m := mover("y")
 		b := append([]byte{}, row.Counters...)
@@ -109,6 +111,11 @@
 		feed(m, "v2", 100, failed, 10*time.Millisecond, at)
 		m.Tick(now)
 		assert.Equal(t, m.Share(now) > 0.005, !sick)
+		// A merge counts at once, without a tick.
+		peer := mover("y")
+		assert.Equal(t, peer.Share(now), 0.005)
+		assert.NilError(t, peer.Merge(m.Evidence()))
+		assert.Equal(t, peer.Share(now), m.Share(now))
 		assert.Assert(t, !m.Fault().Set, m.Fault().Reason)
 	}
 }
@@ -216,6 +223,37 @@
 	assert.Equal(t, m.Share(begin.Add(2*length)), 1.0)
 }
 
+// Guards against a "done" that a node with a slow clock issues after the
+// deadline, and a "reverted" that one with a fast clock issues before it.
+func TestProposalsKeepTheClockBound(t *testing.T) {
+	last := map[move.Outcome]time.Time{}
+	first := map[move.Outcome]time.Time{}
+	now := begin
+	var m *move.Mover
+	m, err := move.New(move.Options{
+		Plan: plan(), Node: "x", Start: 1, Rand: func() float64 { return 0 },
+		Commit: func(p move.Proposal) {
+			if first[p.Outcome].IsZero() {
+				first[p.Outcome] = now
+			}
+			last[p.Outcome] = now
+			m.Committed(p, store.Result{Outcome: store.Refused}, now)
+		},
+		Read: func() { m.Row(store.Row{}, store.Result{Outcome: store.Refused}, now) },
+	})
+	assert.NilError(t, err)
+	for i := range 700 {
+		now = begin.Add(time.Duration(i) * 100 * time.Millisecond)
+		feed(m, "v1", 5, 0, 10*time.Millisecond, now)
+		feed(m, "v2", 5, 0, 10*time.Millisecond, now)
+		m.Tick(now)
+	}
+	deadline := begin.Add(length)
+	assert.Assert(t, last[move.Done].Before(deadline.Add(-skewMost-time.Second)), last[move.Done])
+	assert.Assert(t, last[move.Done].After(deadline.Add(-5*time.Second)), last[move.Done])
+	assert.Assert(t, !first[move.Reverted].Before(deadline.Add(skewMost)), first[move.Reverted])
+}
+
 // Guards against a plan that can't be run.
 func TestPlanIsChecked(t *testing.T) {
 	bad := []func(*move.Plan){
