--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 OTHER_PKGS     = $(filter-out $(RAPID_PKGS),$(shell $(GO) list ./...))
 export CGO_ENABLED := 1
 
-.PHONY: build test unit check-linked lint generate check-generated demo measure capacity long clean
+.PHONY: build test unit check-linked lint generate check-generated demo measure capacity long long-moves clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -62,3 +62,8 @@
 
 long:
 	$(GO) test -count=1 ./internal/hist -run 'TestHistories$$' -v -timeout 1h $(RAPID_FLAGS) -rapid.checks=$(LONG_CHECKS)
+
+# long-moves runs the large seeded trial of version moves: 1,008 good and 24 bad
+# moves of each kind. It takes up to 20 minutes on 5 cores.
+long-moves:
+	$(GO) test -count=1 -v -timeout 60m ./internal/canary -args -moves=24
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -10,9 +10,10 @@
 	"github.com/cicadahall/cicadahall/ident"
 )
 
-// freshWindows is the number of fine windows that Fresh sends: those that may
-// have changed within the last 2 s.
-const freshWindows = 8
+// freshWindows is the number of fine windows that Fresh sends: those of the
+// last second. At 10 requests a second a row takes about 60 bytes then, so
+// that four nodes can gossip every 100 ms within 5 KB/s each.
+const freshWindows = 5
 
 // Fault is the latch of a move. It is only ever set.
 type Fault struct {
@@ -52,7 +53,7 @@
 	return m.collect(func(c cell) bool { return m.kept(c.span) })
 }
 
-// Fresh returns what may have changed within the last 2 s, for gossip.
+// Fresh returns what changed within the last second, for gossip.
 func (m *Mover) Fresh(now time.Time) Evidence {
 	m.advance(now)
 	p := &m.opt.Plan
--- a/move/judge.go
+++ b/move/judge.go
@@ -11,10 +11,10 @@
 	// is below P4's 1 in 1,000, because nodes look at partly merged windows,
 	// which the bound doesn't cover.
 	falseRate = 0.0008
-	// fineMost and wideMost cap the log likelihood ratio of one window. With
-	// the fine cap, three windows can't set the latch alone: that is how many
-	// a common sickness makes one-sided when clocks differ by 500 ms.
-	fineMost, wideMost = 6, 8
+	// fineAlone and wideAlone are the numbers of windows whose likelihood
+	// ratios are capped so that they can't set the latch alone: a common
+	// sickness is one-sided in so many windows when clocks differ by 500 ms.
+	fineAlone, wideAlone = 3, 2
 )
 
 // judge tests the merged evidence and sets the latch. Tests exist for each
@@ -54,10 +54,10 @@
 
 // test runs both kinds of test on one scale for every route and for all.
 func (m *Mover) test(s scale) {
-	first, last, prior, most := m.bounds(s)
+	b := m.reach(s)
 	routes := len(m.opt.Plan.Routes) + 1
 	chains := make([][kinds]chain, routes+1)
-	for w := first; w <= last; w++ {
+	for w := b.first; w <= b.last; w++ {
 		filled := false
 		all := unit
 		for r := range routes {
@@ -67,13 +67,13 @@
 			}
 			filled = true
 			for k := range kinds {
-				chains[r][k].step(&t.ratios[k], prior, most)
+				chains[r][k].step(k, &t.ratios[k], b.prior, b.most[k])
 				all[k].times(&t.ratios[k])
 			}
 		}
 		for k := range kinds {
 			if filled {
-				chains[routes][k].step(&all[k], prior, most)
+				chains[routes][k].step(k, &all[k], b.prior, b.most[k])
 			}
 		}
 	}
@@ -101,16 +101,33 @@
 	}
 }
 
-// bounds returns the windows of a scale that are kept, the prior probability
-// of a fault starting in one of them, and the cap of one window.
-func (m *Mover) bounds(s scale) (first, last int, prior, most float64) {
+// reach is the windows of a scale that are kept, the prior probability of a
+// fault starting in one of them, and the cap of one window's ratio.
+type reach struct {
+	first, last int
+	prior       float64
+	most        [kinds]float64
+}
+
+func (m *Mover) reach(s scale) reach {
 	p := &m.opt.Plan
+	w := p.window(s, m.now)
 	if s == wide {
-		return 0, min(wideCount-1, p.window(wide, m.now)), 1.0 / wideCount, math.Exp(wideMost)
+		b := reach{last: min(wideCount-1, w), prior: 1.0 / wideCount}
+		b.most = [kinds]float64{ratioMost(1, wideAlone), ratioMost(b.prior, wideAlone)}
+		return b
 	}
-	w := p.window(fine, m.now)
-	windows := float64(p.Deadline.Sub(p.Begin)) / float64(fineWindow)
-	return max(0, w-fineKept+1), w + fineAhead, 1 / max(1, windows), math.Exp(fineMost)
+	prior := 1 / max(1, float64(p.Deadline.Sub(p.Begin))/float64(fineWindow))
+	b := reach{first: max(0, w-fineKept+1), last: w + fineAhead, prior: prior}
+	b.most = [kinds]float64{ratioMost(min(1, fineKept*prior), fineAlone), ratioMost(prior, fineAlone)}
+	return b
+}
+
+// ratioMost returns the cap of one window's likelihood ratio with which alone
+// windows stay just below the least limit, given the most that a chain can
+// have before them.
+func ratioMost(before float64, alone int) float64 {
+	return math.Pow(1/(budget(1, 1)*before), 1/float64(alone)) * 0.99
 }
 
 func (m *Mover) reason(r int, k kind) string {
--- a/move/sequential.go
+++ b/move/sequential.go
@@ -56,9 +56,10 @@
 }
 
 // components are what the latency test mixes over. The quantile is that of
-// both cohorts together; a low one separates best when most of the requests
-// are on a slow new version, a high one when few are.
-var components = [gainsCount]component{{0.25, 4}, {0.25, 100}, {0.5, 4}, {0.5, 30}, {0.9, 4}, {0.9, 30}}
+// both cohorts together; the share of the old version separates best when the
+// new one is much slower, which is controlShare at the end, a high quantile
+// at the begin.
+var components = [gainsCount]component{{0.4, 30}, {0.4, 300}, {0.5, 4}, {0.5, 30}, {0.9, 4}, {0.9, 30}}
 
 // gains are the logarithms of the likelihood ratios of one window.
 type gains [gainsCount]float64
@@ -194,16 +195,24 @@
 	}
 }
 
-// chain is the Shiryaev-Roberts statistic of one test: for each component the
-// sum over start windows of the product of likelihood ratios since then.
+// chain is the statistic of one test for each component. For errors it is the
+// Shiryaev-Roberts sum over start windows of the product of likelihood ratios
+// since then; for latency it is the largest of these products (CUSUM), which
+// never exceeds the sum. Windows without errors leave the sum untouched, so it
+// gains from many possible starts; latencies always differ a little, so their
+// sum gains nothing, and the maximum allows a higher cap.
 type chain [gainsCount]float64
 
 // step adds one window with the prior probability that a fault starts in it.
 // The ratio of one window is capped: cohorts whose clocks differ by 500 ms
 // show a common sickness in up to three fine windows as one-sided.
-func (c *chain) step(r *ratios, prior, most float64) {
+func (c *chain) step(k kind, r *ratios, prior, most float64) {
 	for i := range c {
-		c[i] = (c[i] + prior) * min(r[i], most)
+		start := max(c[i], prior)
+		if k == errorsKind {
+			start = c[i] + prior
+		}
+		c[i] = start * min(r[i], most)
 	}
 }
 
