Probe silent upstreams within the manifest's budget

Cause: package probe had no shell; an upstream without traffic was known by its heartbeat only. Ruled out: following the status of the health endpoint, which may mislead: an upstream that serves well would stay out for good without traffic. Measured: TestProbeTakesASlotAndAnyAnswerCounts and the node tests pass. Conclusion: any answer counts as working; a probe takes a slot; members stop choosing an upstream whose probes get no answer.

--- a/internal/exit/exit_test.go
+++ b/internal/exit/exit_test.go
@@ -200,3 +200,32 @@
 		assert.Equal(t, r.StatusCode, status, body)
 	}
 }
+
+// Guards against a probe that the upstream gets on top of its slots, and
+// against taking a health endpoint's word for the upstream's state.
+func TestProbeTakesASlotAndAnyAnswerCounts(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{})
+	b := newBench(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			close(started)
+			<-release
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	assert.Equal(t, b.exit.Probe(t.Context(), "/health"), exit.ProbeResult{Answered: true, Status: http.StatusInternalServerError})
+	ended := make(chan struct{})
+	go func() {
+		b.exit.Call(t.Context(), b.request(""))
+		close(ended)
+	}()
+	<-started
+	before := b.runs.Load()
+	assert.Equal(t, b.exit.Probe(t.Context(), "/health"), exit.ProbeResult{Answered: true})
+	assert.Equal(t, b.runs.Load(), before)
+	close(release)
+	<-ended
+	b.up.Start, b.up.Address = 2, "127.0.0.1:1"
+	b.exit.Announce(b.up)
+	assert.Equal(t, b.exit.Probe(t.Context(), "/health"), exit.ProbeResult{})
+}
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -175,6 +175,7 @@
 	}
 	c.n.gate.set(m.Domains, h.Revision, time.Now())
 	c.n.moves.set(m)
+	c.n.probes.set(m.Measure)
 	c.n.entry.SetCatalog(entry.NewCatalog(m))
 	c.n.log.Emit(event.ManifestAdopted, event.F(event.Revision, h.Revision), event.F(event.Digest, h.Digest))
 	c.n.roster.refresh()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,7 @@
 // them and runs them under a supervisor.
 //
 // Locks are taken in this order and never the other way round: shell of the
-// membership, conf, exit, moves, works, roster, gate. A part that has to tell one
+// membership, conf, exit, moves, works, probes, roster, gate. A part that has to tell one
 // before it in this order asks roster.refresh, which doesn't block.
 package node
 
@@ -58,6 +58,7 @@
 	conf     *conf
 	moves    *moves
 	works    *works
+	probes   *probes
 	ports    []*port
 	leaving  atomic.Bool
 }
@@ -83,6 +84,7 @@
 	n.gate = newGate(n.log.Emit)
 	n.moves = newMoves(n)
 	n.works = newWorks(n)
+	n.probes = newProbes(n)
 	n.conf = newConf(n)
 	n.roster = newRoster(n)
 	n.exit = n.newExit()
@@ -115,6 +117,7 @@
 	n.measure(x)
 	n.works.record(x)
 	n.moves.observe(x)
+	n.probes.traffic(x)
 }
 
 func (n *Node) newEntry() *entry.Entry {
@@ -158,6 +161,7 @@
 		{Name: "config", Run: n.conf.Run},
 		{Name: "moves", Run: n.moves.Run},
 		{Name: "works", Run: n.works.Run},
+		{Name: "probes", Run: n.probes.Run},
 	}
 	for _, p := range n.ports {
 		children = append(children, super.Child{Name: p.name, Run: p.Run})
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -93,7 +93,7 @@
 		Slots:    u.Slots,
 		RPC:      s.Listen.Peers,
 		Revision: r.n.conf.force().Revision,
-		Ready:    u.Ready && !u.Draining,
+		Ready:    u.Ready && !u.Draining && !r.n.probes.down(),
 	}
 }
 
