--- a/admit/admit.go
+++ b/admit/admit.go
@@ -135,7 +135,7 @@
 	}
 	l.pace.init(o.Service)
 	if o.Warm {
-		l.pace.limit = l.slots
+		l.pace.limit, l.pace.known = l.slots, l.slots
 	} else {
 		l.pace.cold()
 	}
@@ -152,6 +152,7 @@
 	l.start = start
 	l.slots = float64(slots)
 	l.pace.limit = min(l.pace.limit, max(floor, l.slots))
+	l.pace.known = min(l.pace.known, max(floor, l.slots))
 	l.fill(now)
 }
 
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -12,10 +12,10 @@
 	// baseCap clips one service time in the average, in normal service times;
 	// clipping there lowers the learned mean of exponential times by 1 %.
 	baseCap = 5.0
-	// driftGain lets the normal service time follow a lasting change, 16 times
+	// driftGain lets the normal service time follow a lasting change, 64 times
 	// slower than baseGain, because neither a slow spell nor the overload of a
 	// cold upstream must become normal.
-	driftGain = baseGain / 16
+	driftGain = baseGain / 64
 
 	// floorGain lets the normal service time follow each window at the floor.
 	// One request at a time isn't slow from load, so without this a lasting
@@ -35,13 +35,23 @@
 	// learned from 16 answers it alarmed in normal operation.
 	settled = 128
 	// slowTurns in normal service times is how long alarms must go on until
-	// the limit restarts. The restart costs about 50 of them in lost capacity,
-	// more than it saves in a shorter stall: cutting the limit at the first
-	// alarm raised p99 at 95 % load with stalls of 200 ms by a fifth.
+	// the limit is cut to slowCut of it, and cutAgain the time to each further
+	// cut. A cut at the first alarm cost more capacity than it saved: it raised
+	// p99 at 95 % load with stalls of 20 normal service times by a fifth.
 	slowTurns = 25
+	cutAgain  = 12
+	slowCut   = 0.7
+	// After a cut, backWindow answers with a mean within backBelow bring the
+	// old limit back at once. With 8 answers, a slow worker seemed normal in 1
+	// of 50 seeds, because the first answers are the short ones. A cut within
+	// backTrust normal service times of a return shows missing capacity; then
+	// half the limit counts as known.
+	backWindow = 16
+	backBelow  = 1.5
+	backTrust  = 100
 	// alarmGap in units of expected work separates two slow spells. A worker
 	// five times slower alarms about every 25 units.
-	alarmGap = 75
+	alarmGap = 100
 	// idleShare of the limit in use is low load: slow answers then aren't
 	// caused by load, so the upstream is cold.
 	idleShare = 0.5
@@ -55,8 +65,8 @@
 	brokenLimit = 2
 
 	// The limit grows in steps, each after a window of answers.
-	// The mean of 16 exponential times varies by a quarter.
-	windowMin   = 16
+	// The mean of 18 exponential times varies by a quarter.
+	windowMin   = 18
 	windowTurns = 3
 	// growBelow and shrinkAbove are mean service times in normal ones.
 	growBelow   = 1.1
@@ -73,6 +83,10 @@
 // pace is the adaptive limit. Times are float64 nanoseconds.
 type pace struct {
 	limit float64
+	// known is the limit to return to after a cut, and back the time since the
+	// latest return.
+	known float64
+	back  float64
 	// base is the normal service time, learned from answers, and service the
 	// recent one.
 	base    float64
@@ -98,7 +112,7 @@
 }
 
 func (p *pace) init(service time.Duration) {
-	p.patience, p.gap = 1, alarmGap
+	p.patience, p.gap, p.back = 1, alarmGap, backTrust
 	p.base = float64(service)
 	p.service = p.base
 	if service > 0 {
@@ -110,7 +124,7 @@
 
 // cold restarts the limit at its minimum.
 func (p *pace) cold() {
-	p.limit = floor
+	p.limit, p.known = floor, floor
 	p.alarm, p.slow, p.broken, p.patience = 0, 0, 0, 1
 	p.reset()
 }
@@ -132,6 +146,7 @@
 	share := min(1, turn*useGain)
 	p.use += share * (float64(running)/p.limit - p.use)
 	p.slow += turn
+	p.back += turn
 	p.gap += turn * float64(running)
 	p.alarm += (1 - slowRate) * turn * float64(running)
 	if p.alarm > alarmLevel {
@@ -147,11 +162,27 @@
 	}
 	p.alarm, p.gap, p.alarmed = 0, 0, true
 	p.service = max(p.service, p.base/slowRate)
-	if p.use < idleShare || p.slow > slowTurns {
+	switch {
+	case p.use < idleShare:
 		p.cold()
+	case p.slow > slowTurns:
+		p.slow -= cutAgain
+		p.cut()
 	}
 }
 
+// cut lowers the limit and remembers what to return to.
+func (p *pace) cut() {
+	if p.limit >= p.known {
+		p.known = p.limit
+		if p.back < backTrust {
+			p.known = max(floor, p.limit/2)
+		}
+	}
+	p.limit = max(floor, p.limit*slowCut)
+	p.reset()
+}
+
 // finish learns from the end of a request that took d.
 func (p *pace) finish(r Result, d time.Duration, running int, slots float64) {
 	if r != Broken {
@@ -173,6 +204,7 @@
 
 func (p *pace) shed(running int) {
 	p.limit = max(floor, min(p.limit, float64(running)*shedCut))
+	p.known = p.limit
 	p.reset()
 }
 
@@ -204,6 +236,10 @@
 	}
 	p.count++
 	p.sum += d
+	if p.limit < p.known {
+		p.recover()
+		return
+	}
 	if float64(p.count) < p.patience*max(windowMin, windowTurns*p.limit) {
 		return
 	}
@@ -220,5 +256,17 @@
 		p.limit = min(slots, p.limit+step)
 		p.patience = max(1, p.patience*patienceFade)
 	}
+	p.known = p.limit
+	p.reset()
+}
+
+// recover returns to the known limit when a window of answers is normal.
+func (p *pace) recover() {
+	if p.count < backWindow {
+		return
+	}
+	if p.sum/float64(p.count) < backBelow*p.base {
+		p.limit, p.back, p.slow = p.known, 0, 0
+	}
 	p.reset()
 }
--- a/choose/search.go
+++ b/choose/search.go
@@ -56,7 +56,7 @@
 		}
 	}
 	if q.Last {
-		c.revisit(&s, g)
+		c.revisit(&s)
 	}
 	if s.rank > full {
 		c.scan(&s, g)
@@ -68,9 +68,13 @@
 }
 
 // revisit compares the members that have refused the request.
-func (c *Chooser) revisit(s *search, g *group) {
+func (c *Chooser) revisit(s *search) {
 	for _, n := range s.query.Tried {
-		if p := c.peers[n]; p != nil && p.group == g && p.member.State != Leaving {
+		p := c.peers[n]
+		if p == nil || p.member.State == Leaving || p.member.Service != s.query.Service {
+			continue
+		}
+		if v := s.query.Version; v == "" || v == p.member.Version {
 			c.consider(s, p)
 		}
 	}
