--- a/config/config_test.go
+++ b/config/config_test.go
@@ -371,3 +371,20 @@
 	_, err := config.ParseHead([]byte(`{"format": 2}`))
 	assert.ErrorIs(t, err, config.ErrFormat)
 }
+
+func BenchmarkFollowerTick(b *testing.B) {
+	body := []byte("one")
+	head := config.Head{Revision: 1, Digest: config.Digest(body), Change: "a"}
+	now := time.Unix(0, 0)
+	f := config.NewFollower(config.FollowerOptions{
+		FetchStore: func(config.Fetch) {}, FetchPeer: func(config.Fetch) {},
+		Adopt: func(config.Head, []byte) {}, Rand: func() float64 { return 0.5 },
+	})
+	f.Offer(head, now)
+	f.Body(head.Digest, body, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Tick(now)
+		f.Offer(head, now)
+	}
+}
--- a/move/codec.go
+++ b/move/codec.go
@@ -18,15 +18,9 @@
 // ErrCounters reports encoded counters that can't be read.
 var ErrCounters = errors.New("malformed move counters")
 
-// encode writes cells as variable-length integers: scale, route, cohort,
+// encode writes the cells of keys as variable-length integers: scale, route, cohort,
 // window, errors, number of filled buckets, then a bucket and its count each.
-func encode(cells map[cell]*counts, keep func(cell) bool) []byte {
-	var keys []cell
-	for k := range cells {
-		if keep(k) {
-			keys = append(keys, k)
-		}
-	}
+func encode(cells map[cell]*counts, keys []cell) []byte {
 	slices.SortFunc(keys, cell.compare)
 	out := []byte{countersFormat}
 	out = binary.AppendUvarint(out, uint64(len(keys)))
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -50,18 +50,37 @@
 
 // Evidence returns everything known, for anti-entropy.
 func (m *Mover) Evidence() Evidence {
-	return m.collect(func(c cell) bool { return m.kept(c.span) })
+	return m.collect(func(row map[cell]*counts) (keys []cell) {
+		for c := range row {
+			if m.kept(c.span) {
+				keys = append(keys, c)
+			}
+		}
+		return keys
+	})
 }
 
 // Fresh returns what changed within the last second, for gossip.
 func (m *Mover) Fresh(now time.Time) Evidence {
 	m.advance(now)
+	var spans []span
 	p := &m.opt.Plan
-	return m.collect(func(c cell) bool {
-		if c.scale == fine {
-			return m.kept(c.span) && int(c.window) > p.window(fine, m.now)-freshWindows
+	for r := range len(p.Routes) + 1 {
+		for i := range freshWindows + fineAhead {
+			spans = append(spans, span{fine, uint8(r), uint32(p.window(fine, m.now) + fineAhead - i)})
+		}
+		w := p.window(wide, m.now)
+		spans = append(spans, span{wide, uint8(r), uint32(w)}, span{wide, uint8(r), uint32(w - 1)})
+	}
+	return m.collect(func(row map[cell]*counts) (keys []cell) {
+		for _, s := range spans {
+			for c := range cohorts {
+				if k := (cell{s, c}); row[k] != nil {
+					keys = append(keys, k)
+				}
+			}
 		}
-		return int(c.window) >= p.window(wide, m.now.Add(-freshWindows*fineWindow))
+		return keys
 	})
 }
 
@@ -71,10 +90,10 @@
 	return Evidence{Move: m.opt.Plan.Move, Fault: m.fault, Outcome: m.final.outcome}
 }
 
-func (m *Mover) collect(keep func(cell) bool) Evidence {
+func (m *Mover) collect(keys func(map[cell]*counts) []cell) Evidence {
 	e := m.State()
 	for o, cells := range m.rows {
-		e.Rows = append(e.Rows, Row{Node: o.node, Start: o.start, Counters: encode(cells, keep)})
+		e.Rows = append(e.Rows, Row{Node: o.node, Start: o.start, Counters: encode(cells, keys(cells))})
 	}
 	slices.SortFunc(e.Rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Start, b.Start))
@@ -121,7 +140,7 @@
 	t.cohorts[k.cohort].sum(rise)
 	if !t.stale {
 		t.stale = true
-		m.stale = append(m.stale, k.span)
+		m.stale[k.scale] = append(m.stale[k.scale], k.span)
 	}
 	if k.scale == wide {
 		m.loads[k.window][k.cohort].add(rise)
--- a/move/move.go
+++ b/move/move.go
@@ -33,6 +33,9 @@
 	// fineAhead accepts windows of nodes whose clocks are ahead by the clock
 	// bound of 500 ms, and as much again.
 	fineAhead = 4
+	// pruneEvery is the number of fine windows between two removals of those
+	// that aren't kept any more. They are left out of all results before.
+	pruneEvery = 8
 	// wideCount is the number of wide windows of a move. The share only rises
 	// between them, because within one window a rising share and a rising
 	// common error rate would look like a fault of the new version.
@@ -110,7 +113,9 @@
 	rows   map[owner]map[cell]*counts
 	tables map[span]*table
 	// stale lists the tables whose evidence must be computed again.
-	stale []span
+	stale [scales][]span
+	// widened is the fine window of the last test on the wide scale.
+	widened int
 	// pruned is the fine window of the last prune.
 	pruned int
 	// loads are the sums over all routes in each wide window.
@@ -131,6 +136,7 @@
 	m := &Mover{opt: o, self: owner{o.Node, o.Start}, salt: xxhash.Sum64String(string(o.Plan.Move))}
 	m.rows = map[owner]map[cell]*counts{m.self: {}}
 	m.tables = map[span]*table{}
+	m.widened = -wideEvery
 	return m, nil
 }
 
--- a/move/share.go
+++ b/move/share.go
@@ -7,8 +7,8 @@
 	// the most that a version that is bad from the start may get (P4).
 	smallShare = 0.005
 	// controlShare is the least share that the old version keeps until the
-	// outcome, because only concurrent requests are compared. At 0.25 a fault
-	// took longer than 2 s to stop at 80 requests a second.
+	// outcome, because only concurrent requests are compared. At 0.25, 6 of 24 late
+	// slow versions took longer than 2 s to stop at 80 requests a second.
 	controlShare = 0.4
 	// needShare is the evidence that allows more than smallShare, relative to
 	// the requests expected in the whole move. The share then grows with the
