Spread joins and keep revisions of members out of routing

Ruled out: a fixed delay of 5 s before joining, which a single restart would pay, too. The spread now follows from the number of rows found. Conclusion: reads first, writes spread, peers asked only by lonely nodes.

--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
@@ -16,13 +17,16 @@
 const (
 	// joinPrefix precedes the node's name in the key of its join row.
 	joinPrefix = "member/"
-	// joinPause is the pause between two attempts to write and read the join
-	// rows while the table service is out of reach.
+	// joinPause is the mean pause between two attempts to reach the table
+	// service while it is down.
 	joinPause = 2 * time.Second
-	// joinRefresh is the time between two readings after that. Two groups of
-	// nodes that have lost each other find back by it. At 1,100 nodes it causes
-	// less than 4 scans a second.
-	joinRefresh = 5 * time.Minute
+	// joinRefresh is the mean time between two readings after that. Two groups
+	// of nodes that have lost each other find back by it.
+	joinRefresh = 15 * time.Minute
+	// joinSpread is the time for each row found over which nodes spread their
+	// own write. Nodes that start together then write at most 200 rows a second,
+	// while a single node of a small system writes at once.
+	joinSpread = 5 * time.Millisecond
 )
 
 // joinRow is how nodes find each other through the table service.
@@ -35,30 +39,45 @@
 // join finds members to start from: through the rows of the table service, or
 // through the peers of the settings while that is down.
 func (r *roster) join(ctx context.Context, shell *gossip.Shell) {
+	set := func(seeds []string) {
+		shell.With(func(m *member.Machine, _ time.Time) { m.SetSeeds(seeds) })
+	}
+	if seeds, ok := r.scanJoin(ctx); ok {
+		set(seeds)
+		sleep(ctx, time.Duration(rand.Int64N(int64(len(seeds)+1)*int64(joinSpread))))
+	}
 	for ctx.Err() == nil {
 		seeds, ok := r.fromTable(ctx)
 		pause := joinRefresh
 		if !ok {
-			seeds = r.fromPeers(ctx)
 			pause = joinPause
+			seeds = r.fromPeers(ctx)
 		}
-		shell.With(func(m *member.Machine, _ time.Time) { m.SetSeeds(seeds) })
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		if len(seeds) > 0 {
+			set(seeds)
 		}
+		sleep(ctx, jitter(pause))
 	}
 }
 
+// jitter returns a random duration between half and one and a half times d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
 // fromTable writes the own row and then reads the others. Of two nodes that
 // join at the same time, the one that writes later finds the other one; the
 // opposite order left groups of nodes that didn't know of each other.
 func (r *roster) fromTable(ctx context.Context) ([]string, bool) {
-	limited, cancel := context.WithTimeout(ctx, storeLimit)
-	defer cancel()
-	if !r.writeJoin(limited) {
+	if !r.writeJoin(ctx) {
 		return nil, false
 	}
+	return r.scanJoin(ctx)
+}
+
+func (r *roster) scanJoin(ctx context.Context) ([]string, bool) {
+	limited, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
 	rows, res := r.n.table.Scan(limited, joinPrefix)
 	if !res.OK() {
 		return nil, false
@@ -73,7 +92,9 @@
 	return seeds, true
 }
 
-func (r *roster) writeJoin(ctx context.Context) bool {
+func (r *roster) writeJoin(parent context.Context) bool {
+	ctx, cancel := context.WithTimeout(parent, storeLimit)
+	defer cancel()
 	j := joinRow{Node: r.n.settings.Node, Start: r.n.start}
 	r.with(func(m *member.Machine, _ time.Time) { j.UDP = m.Self().UDP })
 	value, err := json.Marshal(j)
@@ -88,8 +109,12 @@
 	return r.n.table.Commit(ctx, []store.Write{w}).OK()
 }
 
-// fromPeers asks the peers of the settings for the members that they know.
+// fromPeers asks the peers of the settings for the members that they know,
+// unless this node knows members already: at 1,100 members one answer has 85 KB.
 func (r *roster) fromPeers(ctx context.Context) []string {
+	if r.size() > 1 {
+		return nil
+	}
 	var seeds []string
 	for _, address := range r.n.settings.Peers {
 		limited, cancel := context.WithTimeout(ctx, peerLimit)
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -155,6 +155,9 @@
 	if seen && (lost(c) || old.Start != c.Start) {
 		r.n.works.gone(old)
 	}
+	// The revision of a member changes with every manifest and doesn't concern
+	// routing; rebuilding the member list for it took 28 ms/s at 1,100 members.
+	old.Revision = c.Revision
 	if old != c {
 		r.refresh()
 	}
