Test head order, small regions and packet size

Cause: three mutations survived: a head set back, a self-fault judged by all probes alone, and packets of up to 4,000 bytes. Ruled out: the heal test for the packet size; the rate bound keeps its packets small. Conclusion: covered.

--- a/member/failure_test.go
+++ b/member/failure_test.go
@@ -214,6 +214,23 @@
 	assert.Equal(t, *lost, 0)
 }
 
+// Guards against the few nodes of a small region that take the loss of the
+// large one for a fault of their own and keep its members in use.
+func TestSmallRegionSeesPartition(t *testing.T) {
+	n := started(28)
+	for i, h := range n.Hosts {
+		if h.Region() == n.Hosts[6].Region() && i > 6 {
+			n.Kill(h)
+		}
+	}
+	n.Run(time.Minute)
+	n.Faults.Cut = func(a, b *scale.Host) bool { return a.Region() != b.Region() }
+	n.Run(time.Minute)
+	assert.Assert(t, n.All(func(a, b *scale.Host) bool {
+		return n.State(a, b) == member.Unreachable == (a.Region() != b.Region())
+	}))
+}
+
 // Guards against members forgotten in a partition, a heal that never ends, a
 // storm of messages after it, and false claims about the own region. Without
 // seeds only the slow probes can find the other region.
--- a/member/join_test.go
+++ b/member/join_test.go
@@ -69,6 +69,7 @@
 	publisher.Update(adopted, n.Now())
 	n.Run(time.Second)
 	n.Hosts[8].Machine.SetHead(member.Head{Revision: 3, Digest: "d3", Change: "c3"})
+	assert.Equal(t, n.Hosts[8].Machine.Head().Revision, ident.Revision(4))
 	n.Hosts[9].Machine.SetFault("counter-v2")
 	heads, faults := 15*time.Second, 2*time.Second
 	until(t, n, faults, func() bool {
--- a/member/solo_test.go
+++ b/member/solo_test.go
@@ -130,7 +130,8 @@
 }
 
 // Guards against a storm when most members change at once, as after a heal:
-// the updates sent stay within the rate, and still all of them are sent.
+// the updates sent stay within the rate, and still all of them are sent, in
+// packets that fit one frame.
 func TestUpdateRateIsBounded(t *testing.T) {
 	b := newBench("y")
 	for i := range 640 {
@@ -142,6 +143,7 @@
 	passed := map[ident.Node]bool{}
 	for range seconds * 10 {
 		for _, p := range b.step(100*time.Millisecond, "") {
+			assert.Assert(t, p.Size() <= 1200, p.Size())
 			for _, r := range p.Records {
 				sent += r.Size()
 				passed[r.Node] = true
