Show resolved requests; count rejected manifests as not in force

Cause: a node that couldn't read an accepted manifest reported its revision as in force; the first copy of the work counts came up to 10 s after the start although a kill may lose only a second; a request that ended after its upstream had been replaced was counted for the new version. Four wire fields were set and never read.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -50,8 +50,10 @@
 	peers   Peers
 	address string
 	q       *wirepb.CallRequest
-	// silent is called when the exit doesn't confirm a request in time.
-	silent func()
+	// silent is called when the exit doesn't confirm a request in time, and
+	// resolved when the exit has told the outcome of a request without answer.
+	silent   func()
+	resolved func(a *wirepb.CallResponse, took time.Duration)
 }
 
 // run sends the request and returns its outcome. It returns Unknown only if
@@ -137,12 +139,14 @@
 // still runs after a bounded wait, so a missing answer means that the exit is
 // out of reach. A request that may run twice isn't worth waiting for that.
 func (m *remote) resolve(ctx context.Context) *wirepb.CallResponse {
+	began := time.Now()
 	for ctx.Err() == nil {
 		a, err := m.ask(ctx)
 		if err == nil && a.GetReason() == wirepb.Reason_REASON_RUNNING {
 			continue
 		}
 		if err == nil && bytes.Equal(a.GetId(), m.q.GetId()) {
+			m.resolved(a, time.Since(began))
 			return a
 		}
 		if m.q.GetIdempotent() || neverSent(err) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -272,7 +272,6 @@
 		Idempotent:    p.q.mayRepeat(),
 		Last:          last,
 		Key:           p.q.key,
-		Source:        string(p.e.o.Node),
 	}
 }
 
@@ -288,9 +287,22 @@
 			event.F(event.Address, t.Address),
 			event.F(event.Elapsed, progressLimit))
 	}
+	r.resolved = func(a *wirepb.CallResponse, took time.Duration) {
+		e.o.Emit(event.RequestResolved,
+			event.F(event.Request, requestID(m.GetId())),
+			event.F(event.Peer, t.Member.Node),
+			event.F(event.Outcome, call.OutcomeOf(a.GetOutcome())),
+			event.F(event.Elapsed, took))
+	}
 	return r.run(ctx)
 }
 
+func requestID(b []byte) ident.Request {
+	var id ident.Request
+	copy(id[:], b)
+	return id
+}
+
 // hedgeDelay returns when a copy is worth sending a second time. Only
 // requests that may run twice are hedged; the plan sees to that.
 func (p *placement) hedgeDelay() time.Duration {
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -169,7 +169,6 @@
 		Body:       a.GetBody(),
 		BusyNanos:  a.GetBusyNanos(),
 		RetryNanos: a.GetRetryNanos(),
-		Start:      uint64(e.o.Start),
 		Hint:       e.hint(),
 	}
 }
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -151,14 +151,15 @@
 		Queued:       l.Queued,
 		Limit:        l.Limit,
 		ServiceNanos: int64(l.Service),
-		Leaving:      e.draining,
 	}
 }
 
+// count reports the end of a request. The version is that of the request: the
+// upstream may have been replaced while it ran.
 func (e *Exit) count(q *wirepb.CallRequest, a *wirepb.CallResponse, busy time.Duration) {
 	e.o.Count(Run{
 		Service: ident.Service(q.GetService()),
-		Version: e.upstream.Version,
+		Version: ident.Version(q.GetVersion()),
 		Route:   ident.Route(q.GetRoute()),
 		Caller:  ident.Service(q.GetCaller()),
 		Outcome: a.GetOutcome(),
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -32,6 +32,9 @@
 
 	mu       sync.Mutex
 	follower *config.Follower
+	// active is the head whose manifest is in force. It lags behind the
+	// follower's if this release can't read a newer manifest.
+	active config.Head
 }
 
 func newConf(n *Node) *conf {
@@ -103,7 +106,7 @@
 func (c *conf) force() config.Head {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.follower.Head()
+	return c.active
 }
 
 func (c *conf) held(d ident.Digest) ([]byte, bool) {
@@ -173,6 +176,7 @@
 			event.F(event.Error, err))
 		return
 	}
+	c.active = h
 	c.n.gate.set(m.Domains, h.Revision, time.Now())
 	c.n.moves.set(m)
 	c.n.probes.set(m.Measure)
--- a/internal/node/works.go
+++ b/internal/node/works.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// writeJitter spreads the rows of nodes that have started together.
-	writeJitter = 10 * time.Second
 	// finalLimit bounds the writing of the last snapshot of a planned stop.
 	finalLimit = 5 * time.Second
 	// keepLimit bounds one message to the keeping peer.
@@ -74,7 +72,8 @@
 	t := time.NewTicker(work.KeepEvery)
 	defer t.Stop()
 	ready()
-	sleep(ctx, time.Duration(rand.Int64N(int64(writeJitter))))
+	// Nodes that have started together don't send their copies together.
+	sleep(ctx, time.Duration(rand.Int64N(int64(work.KeepEvery))))
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/slope/entry.go
+++ b/internal/slope/entry.go
@@ -47,7 +47,7 @@
 func targets(n, services int) []entry.Target {
 	all := make([]entry.Target, n)
 	for i := range all {
-		all[i] = entry.Target{Member: memberOf(i, services), Address: fmt.Sprintf("10.20.%d.%d:7001", i/200, i%200), Start: 1}
+		all[i] = entry.Target{Member: memberOf(i, services), Address: fmt.Sprintf("10.20.%d.%d:7001", i/200, i%200)}
 	}
 	return all
 }
@@ -153,10 +153,10 @@
 	q := &wirepb.CallRequest{
 		Id: make([]byte, 16), Start: 1 << 63, Service: "service-17", Version: "v1", Route: "lessons", Caller: "service-16",
 		Method: "POST", Path: "/lessons/1234567", Headers: headers, DeadlineNanos: epoch.UnixNano(),
-		Attempts: 3, Depth: int32(depth), Source: "service-16-186",
+		Attempts: 3, Depth: int32(depth),
 	}
 	a := &wirepb.CallResponse{
-		Id: make([]byte, 16), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: 200, Headers: headers[:2], Start: 1 << 63,
+		Id: make([]byte, 16), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: 200, Headers: headers[:2],
 		BusyNanos: int64(10 * time.Millisecond),
 		Hint:      &wirepb.Hint{Inflight: 7, Queued: 1, Limit: 10, ServiceNanos: int64(10 * time.Millisecond)},
 	}
