--- a/admit/pace.go
+++ b/admit/pace.go
@@ -36,19 +36,19 @@
 	settled = 128
 	// slowTurns in normal service times is how long alarms must go on until
 	// the limit is cut to slowCut of it, and cutAgain the time to each further
-	// cut. A cut at the first alarm cost more capacity than it saved: it raised
-	// p99 at 95 % load with stalls of 20 normal service times by a fifth.
-	slowTurns = 25
+	// cut. A cold start costs about 50 normal service times of capacity. With
+	// 25, two overlapping stalls of one of four workers led to a cut, and p99 at
+	// 95 % load rose to 1.26 times that of a central queue.
+	slowTurns = 50
 	cutAgain  = 12
 	slowCut   = 0.7
-	// After a cut, backWindow answers with a mean within backBelow bring the
-	// old limit back at once. With 8 answers, a slow worker seemed normal in 1
-	// of 50 seeds, because the first answers are the short ones. A cut within
-	// backTrust normal service times of a return shows missing capacity; then
-	// half the limit counts as known.
+	// After a cut, backWindow answers with a mean within backBelow bring
+	// backShare of the old limit back at once; the rest must grow again, because
+	// a slowness that lasted shows missing capacity. With 8 answers, a slow
+	// worker seemed normal in 1 of 50 seeds: the first answers are short ones.
 	backWindow = 16
 	backBelow  = 1.5
-	backTrust  = 100
+	backShare  = 0.5
 	// alarmGap in units of expected work separates two slow spells. A worker
 	// five times slower alarms about every 25 units.
 	alarmGap = 100
@@ -83,10 +83,10 @@
 // pace is the adaptive limit. Times are float64 nanoseconds.
 type pace struct {
 	limit float64
-	// known is the limit to return to after a cut, and back the time since the
-	// latest return.
+	// known is the limit to return to after a cut, and top the limit when the
+	// slow spell began.
 	known float64
-	back  float64
+	top   float64
 	// base is the normal service time, learned from answers, and service the
 	// recent one.
 	base    float64
@@ -112,7 +112,7 @@
 }
 
 func (p *pace) init(service time.Duration) {
-	p.patience, p.gap, p.back = 1, alarmGap, backTrust
+	p.patience, p.gap = 1, alarmGap
 	p.base = float64(service)
 	p.service = p.base
 	if service > 0 {
@@ -124,7 +124,7 @@
 
 // cold restarts the limit at its minimum.
 func (p *pace) cold() {
-	p.limit, p.known = floor, floor
+	p.limit, p.known, p.top = floor, floor, floor
 	p.alarm, p.slow, p.broken, p.patience = 0, 0, 0, 1
 	p.reset()
 }
@@ -146,7 +146,6 @@
 	share := min(1, turn*useGain)
 	p.use += share * (float64(running)/p.limit - p.use)
 	p.slow += turn
-	p.back += turn
 	p.gap += turn * float64(running)
 	p.alarm += (1 - slowRate) * turn * float64(running)
 	if p.alarm > alarmLevel {
@@ -158,7 +157,7 @@
 // high load, the upstream is only reported as slow unless it stays so.
 func (p *pace) slowdown() {
 	if p.gap > alarmGap {
-		p.slow = 0
+		p.slow, p.top = 0, p.limit
 	}
 	p.alarm, p.gap, p.alarmed = 0, 0, true
 	p.service = max(p.service, p.base/slowRate)
@@ -173,12 +172,7 @@
 
 // cut lowers the limit and remembers what to return to.
 func (p *pace) cut() {
-	if p.limit >= p.known {
-		p.known = p.limit
-		if p.back < backTrust {
-			p.known = max(floor, p.limit/2)
-		}
-	}
+	p.known = max(floor, p.top*backShare)
 	p.limit = max(floor, p.limit*slowCut)
 	p.reset()
 }
@@ -266,7 +260,7 @@
 		return
 	}
 	if p.sum/float64(p.count) < backBelow*p.base {
-		p.limit, p.back, p.slow = p.known, 0, 0
+		p.limit, p.top, p.slow = p.known, p.known, 0
 	}
 	p.reset()
 }
