--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 OTHER_PKGS     = $(filter-out $(RAPID_PKGS),$(shell $(GO) list ./...))
 export CGO_ENABLED := 1
 
-.PHONY: build test unit check-linked lint generate check-generated demo measure capacity long clean
+.PHONY: hop build test unit check-linked lint generate check-generated demo measure capacity long clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -39,6 +39,10 @@
 demo: build
 	bin/demo
 
+# hop measures the latency that two hops add on loopback.
+hop: build
+	bin/hop
+
 lint: $(LINT)
 	$(LINT) fmt --diff
 	$(LINT) run ./...
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -5,13 +5,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -128,6 +131,29 @@
 	return oops.With("step", "listen", "peer", p.name).Errorf("process has ended: %s", p.Tail())
 }
 
+// clockTick is the unit of processor times in /proc, which Linux fixes at
+// 100 a second for all programs.
+const clockTick = 10 * time.Millisecond
+
+// CPU returns the processor time that a running process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, oops.With("step", "read processor time", "peer", p.name).Wrap(err)
+	}
+	// The name in parentheses may hold spaces; fields are counted after it.
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	ticks := 0
+	for _, f := range fields[11:13] {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0, oops.With("step", "read processor time", "peer", p.name).Wrap(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
 // tailSize is how much of a log Tail returns, in bytes.
 const tailSize = 600
 
