--- a/cmd/hop/pair.go
+++ b/cmd/hop/pair.go
@@ -49,8 +49,8 @@
 	nodes  []*procs.Process
 	// used is the nodes' processor time before the measurement.
 	used time.Duration
-	body   []byte
-	sent   sync.WaitGroup
+	body []byte
+	sent sync.WaitGroup
 }
 
 func newPair(s *procs.System, size int) *pair {
