--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 OTHER_PKGS     = $(filter-out $(RAPID_PKGS),$(shell $(GO) list ./...))
 export CGO_ENABLED := 1
 
-.PHONY: build test unit check-linked lint generate check-generated demo measure capacity long long-moves clean
+.PHONY: build test unit check-linked lint generate check-generated demo measure capacity long long-moves clean hop
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -45,6 +45,10 @@
 capacity: build
 	GOMAXPROCS=2 bin/capacity $(if $(WHOLE),--whole) $(if $(ROLE),--role $(ROLE) --print)
 
+# hop measures the latency that two hops add on loopback.
+hop: build
+	bin/hop
+
 lint: $(LINT)
 	$(LINT) fmt --diff
 	$(LINT) run ./...
