--- a/internal/slope/budget.go
+++ b/internal/slope/budget.go
@@ -124,7 +124,6 @@
 		need("one version move of the own service", of("move", moveTime, exchangesPerSecond), of("move", moveTick, exchangesPerSecond)),
 		need("10 min after a partition heals", of("member", "heal: processor time", 1), of("member", "idle: processor time", -1),
 			of("entry", entryUpdate, members/partitionHealed)),
-		need("platform out for longer than 5 min", of("platform", platformParse, outageReads)),
 	}
 }
 
