Tick idle exits less often and forget connections to lost members

Cause: make capacity shows an idle node at 16 ms of processor time per second, most of it the exit's tick; connections to members that are gone were kept. Exit, node and entry tests pass. Conclusion: 5 ms ticks only while requests run or wait.

--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// tickInterval is how often queued requests are checked for expiry.
-	tickInterval = 5 * time.Millisecond
+	// busyTick is how often requests are checked for expiry while some run or
+	// wait. Without any, idleTick is enough for heartbeats; ticking every 5 ms
+	// took an idle node 16 ms of processor time per second instead of 4.
+	busyTick = 5 * time.Millisecond
+	idleTick = 50 * time.Millisecond
 	// heartbeatLimit is the age of an announcement after which the upstream
 	// counts as gone. Upstreams repeat it several times a second.
 	heartbeatLimit = 3 * time.Second
@@ -115,20 +118,21 @@
 }
 
 func (e *Exit) tick(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
+	t := time.NewTimer(idleTick)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
-			e.expire()
+			t.Reset(e.expire())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// expire gives up what waits too long and an upstream that has gone silent.
-func (e *Exit) expire() {
+// expire gives up what waits too long and an upstream that has gone silent. It
+// returns the time until it has to be called again.
+func (e *Exit) expire() time.Duration {
 	e.mu.Lock()
 	now := mono.Now()
 	e.limiter.Tick(now)
@@ -138,10 +142,15 @@
 	if gone {
 		e.withdraw("heartbeat")
 	}
+	next := idleTick
+	if len(e.jobs) > 0 {
+		next = busyTick
+	}
 	e.mu.Unlock()
 	if gone {
 		e.o.Changed()
 	}
+	return next
 }
 
 // Call runs one request or refuses it.
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -194,9 +194,23 @@
 	for _, t := range targets {
 		members = append(members, t.Member)
 	}
+	r.n.pool.Forget(r.addresses())
 	r.n.exit.SetMembers(entry.Homes(members)[r.n.exit.Upstream().Service])
 }
 
+// addresses lists the members that connections are kept to.
+func (r *roster) addresses() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]bool, len(r.records))
+	for _, c := range r.records {
+		if !lost(c) {
+			out[c.RPC] = true
+		}
+	}
+	return out
+}
+
 // targets lists the members that have an upstream and may be reached.
 func (r *roster) targets() []entry.Target {
 	r.mu.Lock()
