Push only the own move counters in an exchange of evidence

Cause: during a move a node needed 54.5 KB/s for evidence, because requests and answers both carried the windows of all members. Ruled out: a longer interval, which delays the stop of a late fault. Conclusion: the answer still carries all rows, so evidence spreads as before.

--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadahall/cicadahall/event"
@@ -34,11 +35,11 @@
 		}
 		q := byPeer[address]
 		if q == nil {
-			q = &wirepb.ShareRequest{Source: string(v.n.settings.Node)}
+			q = &wirepb.ShareRequest{Source: string(v.n.settings.Node), Full: full}
 			byPeer[address] = q
 		}
 		e := evidence(r, full, now)
-		q.Rows = append(q.Rows, rowsOf(e)...)
+		q.Rows = append(q.Rows, v.pushed(e, full)...)
 		q.Moves = append(q.Moves, stateOfMove(e))
 	}
 	v.mu.Unlock()
@@ -56,6 +57,18 @@
 	}
 }
 
+// pushed returns what a request carries: the own counters, or everything in a
+// full exchange. The answer brings the others'; pushing them, too, doubled the
+// bytes of a move.
+func (v *moves) pushed(e move.Evidence, full bool) []*wirepb.EvidenceRow {
+	if !full {
+		e.Rows = slices.DeleteFunc(e.Rows, func(r move.Row) bool {
+			return r.Node != v.n.settings.Node || r.Start != v.n.start
+		})
+	}
+	return rowsOf(e)
+}
+
 func evidence(r *run, full bool, now time.Time) move.Evidence {
 	if full {
 		return r.mover.Evidence()
@@ -97,7 +110,7 @@
 		if !ok {
 			continue
 		}
-		e := evidence(r, false, now)
+		e := evidence(r, q.GetFull(), now)
 		a.Rows = append(a.Rows, rowsOf(e)...)
 		a.Moves = append(a.Moves, stateOfMove(e))
 	}
