--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/retry"
 )
 
@@ -68,6 +69,8 @@
 type fault struct {
 	status int
 	err    error
+	// reason is REASON_MALFORMED unless it is set.
+	reason wirepb.Reason
 }
 
 func (f *fault) Error() string { return f.err.Error() }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -54,11 +54,19 @@
 func (e *Entry) complete(q *request) *fault {
 	c := e.catalog.Load()
 	if c == nil {
-		return &fault{status: http.StatusServiceUnavailable, err: errors.New("no manifest is in force yet")}
+		return &fault{
+			status: http.StatusServiceUnavailable,
+			err:    errors.New("no manifest is in force yet"),
+			reason: wirepb.Reason_REASON_CONFIG,
+		}
 	}
 	s, ok := c.Service(q.service)
 	if !ok {
-		return &fault{status: http.StatusNotFound, err: errors.New("the manifest has no service of this name")}
+		return &fault{
+			status: http.StatusNotFound,
+			err:    errors.New("the manifest has no service of this name"),
+			reason: wirepb.Reason_REASON_SERVICE,
+		}
 	}
 	q.complete(s)
 	return nil
@@ -70,7 +78,11 @@
 // writeFault answers a request that was turned down before it was placed.
 func writeFault(w http.ResponseWriter, f *fault) {
 	w.Header().Set(call.HeaderOutcome, string(call.NotRun))
-	w.Header().Set(call.HeaderReason, call.ReasonOf(wirepb.Reason_REASON_MALFORMED))
+	reason := f.reason
+	if reason == wirepb.Reason_REASON_NONE {
+		reason = wirepb.Reason_REASON_MALFORMED
+	}
+	w.Header().Set(call.HeaderReason, call.ReasonOf(reason))
 	if f.status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", "1")
 	}
