Confirm only requests that run for 20 ms

Cause: every call cost one interim response, a write at the exit and a read and a wake-up at the entry. Ruled out: no interim response, which is what tells a slow request from a silent connection.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,78 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadahall/cicadahall/internal/peer"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+)
+
+// exit answers calls when a test says so.
+type exit struct {
+	wirepb.UnimplementedPeerHandler
+	release chan struct{}
+}
+
+func (e *exit) Call(_ context.Context, q *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	<-e.release
+	return &wirepb.CallResponse{Id: q.GetId(), Outcome: wirepb.Outcome_OUTCOME_RAN, Body: []byte("whole")}, nil
+}
+
+func serve(t *testing.T, e *exit) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := peer.NewServer(e, peer.Options{Body: 1 << 10})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// Guards against taking the connection of a slow request for a silent one: the
+// exit has to confirm the request while it runs, and answer it whole after.
+func TestSlowCallIsConfirmedAndAnswered(t *testing.T) {
+	e := &exit{release: make(chan struct{})}
+	p := peer.NewPool(peer.Options{Body: 1 << 10})
+	defer p.Close()
+	confirmed := make(chan struct{})
+	go func() {
+		<-confirmed
+		close(e.release)
+	}()
+	a, err := p.Call(t.Context(), serve(t, e), &wirepb.CallRequest{Id: []byte("id")}, func() { close(confirmed) })
+	assert.NilError(t, err)
+	assert.Equal(t, string(a.GetBody()), "whole")
+}
+
+// Guards against an interim response that is written beside or after the
+// answer, which would break the connection for the next request.
+func TestConnectionSurvivesInterimResponses(t *testing.T) {
+	e := &exit{release: make(chan struct{}, 1)}
+	p := peer.NewPool(peer.Options{Body: 1 << 10})
+	defer p.Close()
+	address := serve(t, e)
+	var confirmed atomic.Int32
+	for i := range 60 {
+		// Delays around that of the interim response.
+		time.AfterFunc(time.Duration(18+i%5)*time.Millisecond, func() { e.release <- struct{}{} })
+		a, err := p.Call(t.Context(), address, &wirepb.CallRequest{Id: []byte("id")}, func() { confirmed.Add(1) })
+		assert.NilError(t, err)
+		assert.Equal(t, a.GetOutcome(), wirepb.Outcome_OUTCOME_RAN)
+	}
+	t.Logf("%d of 60 calls were confirmed", confirmed.Load())
+}
+
+// Guards against a large body that is held in memory beyond the limit.
+func TestBodyLimitHoldsBetweenNodes(t *testing.T) {
+	e := &exit{release: make(chan struct{})}
+	close(e.release)
+	p := peer.NewPool(peer.Options{Body: 1 << 10})
+	defer p.Close()
+	_, err := p.Call(t.Context(), serve(t, e), &wirepb.CallRequest{Body: make([]byte, 1<<20)}, func() {})
+	assert.ErrorContains(t, err, "larger than configured max")
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,19 +17,16 @@
 	idleServer = 2 * idleLimit
 )
 
-// NewServer returns the HTTP server of a node's peer port. It answers every
-// Call with an interim 102 response first, by which the entry node tells a
-// slow request from a silent connection.
+// NewServer returns the HTTP server of a node's peer port. It answers a Call
+// that takes long with an interim 102 response, by which the entry node tells
+// a slow request from a silent connection.
 func NewServer(h wirepb.PeerHandler, o Options) *http.Server {
 	path, handler := wirepb.NewPeerHandler(h,
 		connect.WithReadMaxBytes(int(o.Body)+messageSlack),
 		connect.WithConditionalHandlerOptions(plain))
 	m := http.NewServeMux()
 	m.Handle(path, handler)
-	m.HandleFunc(wirepb.PeerCallProcedure, func(w http.ResponseWriter, r *http.Request) {
-		w.WriteHeader(http.StatusProcessing)
-		handler.ServeHTTP(w, r)
-	})
+	m.HandleFunc(wirepb.PeerCallProcedure, confirm(handler))
 	return &http.Server{
 		Handler:           m,
 		ReadHeaderTimeout: headerLimit,
