Describe the applied changes in the capacity page

Control messages with gzip, plain calls, the spread join, scans every 15 min, the slower idle tick and the larger heap growth move from the proposals to the budgets.

--- a/internal/slope/budget.go
+++ b/internal/slope/budget.go
@@ -51,12 +51,13 @@
 	// headReads, rowWrites and joinReads are per node and second.
 	headReads = 1.0 / 10
 	rowWrites = 1.0 / 60
-	joinReads = 1.0 / 300
-	// outageReads is one status of each of three peers every 2 s.
-	outageReads = 3.0 / 2
-	// collected is the memory of a live byte under Go's garbage collector,
-	// which lets the heap double between two collections.
-	collected     = 2
+	joinReads = 1.0 / 900
+	// joinSpread is the time in seconds over which the join rows of all nodes
+	// are written if a scan finds the rows of an earlier run: 5 ms for each row.
+	joinSpread = members * 0.005
+	// collected is the memory of a live byte under Go's garbage collector: a
+	// node starts a collection when its heap has grown by 400 %.
+	collected     = 5
 	changesSecond = float64(changes) / day
 	// listsPerChange is how often a node hands on its member list for a change:
 	// when it adopts it and when its own record changes. The revisions of other
@@ -97,7 +98,7 @@
 		need("1,300 changes a day", append(member("changes"), of("config", configBody, both*changesSecond))),
 		need("one version move of the own service", append(member("idle"), of("move", moveFresh, both*exchangesPerSecond))),
 		need("10 min after a partition heals", member("heal")),
-		need("platform out for longer than 5 min", append(member("idle"), of("platform", platformStatus, both*outageReads))),
+		need("platform out", member("idle")),
 	}
 }
 
@@ -107,6 +108,7 @@
 		of("member", "idle: processor time", 1),
 		of("work", workEncode, keepsPerSecond),
 		of("work", workDecode, keepsPerSecond),
+		of("work", workKept, keepsPerSecond),
 		of("platform", platformParse, joinReads),
 	}
 	need := func(situation string, t ...Term) Need {
@@ -157,17 +159,23 @@
 	steady := []Term{
 		of("config", configSteady, 1),
 		of("work", workReads, 1),
-		of("", "get and scan of the join rows, each node every 5 min", both*members*joinReads),
+		of("", "get and scan of the join rows, each node every 15 min", both*members*joinReads),
 	}
 	return []Need{
 		write("steady, 220 restarts a day", of("work", workWrites, 1), of("", "join rows", restarts)),
 		write("1,300 changes a day", of("work", workWrites, 1), of("", "body and head of a change", both*changesSecond)),
-		write("all 1,100 nodes start at once", of("process", processWrites, 1)),
-		write("first minute after that", of("work", workPeak, 1)),
+		write("all 1,100 nodes start at once, rows of an earlier run found", of("", "join rows, spread over 5.5 s", members/joinSpread)),
+		write("all 1,100 nodes start at once, empty table", of("process", processWrites, 1)),
+		write("first minute after a common start", of("work", workPeak, 1)),
 		read("steady", steady...),
 		read("worst second after a change", of("config", configHead, 1), of("work", workReads, 1)),
-		read("all 1,100 nodes start at once", of("process", processReads, 1)),
-		read("5 min after that: the join rows again", of("", "get and scan of each node in the same second", both*members), of("config", configSteady, 1)),
+		read(
+			"all 1,100 nodes start at once, rows of an earlier run found",
+			of("", "first scan of each node in the same second", members),
+			of("", "get and scan of the join rows, spread over 5.5 s", both*members/joinSpread),
+			of("config", configStart, 1),
+		),
+		read("all 1,100 nodes start at once, empty table", of("process", processReads, 1)),
 	}
 }
 
--- a/internal/slope/entry.go
+++ b/internal/slope/entry.go
@@ -4,16 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/entry"
+	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -22,11 +21,10 @@
 	entryUpdate = "processor time of one changed member list"
 	entryChoose = "processor time of one choice"
 	entryCall   = "processor time of one call between nodes, both sides"
-	entryPlain  = "processor time of one call with an answer that isn't compressed, both sides"
 	entryBytes  = "bytes of one call without its body, both ways"
 )
 
-var entryRows = []string{entryHeap, entryUpdate, entryChoose, entryBytes, entryCall, entryPlain}
+var entryRows = []string{entryHeap, entryUpdate, entryChoose, entryBytes, entryCall}
 
 // epoch is the begin of all measurements in virtual time.
 var epoch = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
@@ -84,8 +82,7 @@
 		q, a := callOf(depth)
 		b.add(entryBytes, depth, float64(proto.Size(q)+proto.Size(a)))
 	}
-	b.define(Series{Name: entryCall, Unit: "µs", By: "body bytes", Size: 2000, Carrier: "keep-alive connections; the answer is gzipped"})
-	b.define(Series{Name: entryPlain, Unit: "µs", By: "body bytes", Size: 2000, Carrier: "proposed: no gzip on answers of Call"})
+	b.define(Series{Name: entryCall, Unit: "µs", By: "body bytes", Size: 2000, Carrier: "keep-alive connections; calls and answers aren't compressed"})
 	for _, n := range []int{500, 2000, 8000} {
 		if err := measureCall(ctx, &b, n); err != nil {
 			return nil, err
@@ -106,18 +103,16 @@
 		return err
 	}
 	defer w.Close()
-	for name, o := range map[string][]connect.ClientOption{
-		entryCall:  nil,
-		entryPlain: {connect.WithAcceptCompression("gzip", nil, nil)},
-	} {
-		t := &http.Transport{DisableCompression: true}
-		defer t.CloseIdleConnections()
-		c := wirepb.NewPeerClient(&http.Client{Transport: t}, "http://"+w.address, o...)
-		if _, err := c.Call(ctx, q); err != nil {
-			return err
-		}
-		b.add(name, n, microseconds(func() { _, _ = c.Call(ctx, q) }))
+	pool := peer.NewPool(peer.Options{Body: bodyLimit})
+	defer pool.Close()
+	call := func() error {
+		_, err := pool.Call(ctx, w.address, q, func() {})
+		return err
+	}
+	if err := call(); err != nil {
+		return err
 	}
+	b.add(entryCall, n, microseconds(func() { _ = call() }))
 	return nil
 }
 
--- a/internal/slope/platform.go
+++ b/internal/slope/platform.go
@@ -19,7 +19,7 @@
 const (
 	platformScan   = "bytes of one scan of the join rows, both ways"
 	platformParse  = "processor time of one scan, both sides"
-	platformStatus = "bytes of one status answer, which a node joins by in an outage"
+	platformStatus = "bytes of one status answer, which a node without members joins by in an outage"
 	platformRead   = "bytes of one row read, both ways"
 	platformWrite  = "bytes of one row write, both ways"
 )
@@ -35,9 +35,9 @@
 
 func measurePlatform(ctx context.Context, _ Options) ([]Series, error) {
 	var b board
-	b.define(Series{Name: platformScan, Unit: "B", By: "members", Size: members, Carrier: "one scan at the start and each 5 min"})
-	b.define(Series{Name: platformParse, Unit: "µs", By: "members", Size: members, Carrier: "one scan at the start and each 5 min"})
-	b.define(Series{Name: platformStatus, Unit: "B", By: "members", Size: members, Carrier: "none: each peer of the settings every 2 s"})
+	b.define(Series{Name: platformScan, Unit: "B", By: "members", Size: members, Carrier: "two scans at the start, then one each 15 min with jitter"})
+	b.define(Series{Name: platformParse, Unit: "µs", By: "members", Size: members, Carrier: "two scans at the start, then one each 15 min with jitter"})
+	b.define(Series{Name: platformStatus, Unit: "B", By: "members", Size: members, Carrier: "asked only while no member is known"})
 	b.define(Series{Name: platformRead, Unit: "B", By: "bytes", Size: 2000, Carrier: "keep-alive connections"})
 	b.define(Series{Name: platformWrite, Unit: "B", By: "bytes", Size: 2000, Carrier: "keep-alive connections"})
 	for _, n := range sizes {
--- a/internal/slope/process.go
+++ b/internal/slope/process.go
@@ -57,10 +57,10 @@
 	var b board
 	for _, s := range []Series{
 		{Name: processMemory, Unit: "B", Carrier: "one process a node"},
-		{Name: processTime, Unit: "µs/s", Carrier: "ticks of 5 ms (exit) to 250 ms (moves), one heartbeat in 200 ms"},
-		{Name: processReads, Unit: "/s", Carrier: "one join a node; first head read spread over 4 s"},
-		{Name: processWrites, Unit: "/s", Carrier: "none: all nodes write their join rows at once"},
-		{Name: processScans, Unit: "/s", Carrier: "none: all nodes scan the join rows at once"},
+		{Name: processTime, Unit: "µs/s", Carrier: "ticks of 50 ms (idle exit) to 250 ms (moves), one heartbeat in 200 ms"},
+		{Name: processReads, Unit: "/s", Carrier: "scan, get and scan of each node; first head read spread over 4 s"},
+		{Name: processWrites, Unit: "/s", Carrier: "5 ms for each row found, which is nothing on an empty table"},
+		{Name: processScans, Unit: "/s", Carrier: "none for the first scan; 5 ms for each row found before the second"},
 	} {
 		s.By, s.Size = "nodes", members
 		if s.Name == processMemory || s.Name == processTime {
--- a/internal/slope/work.go
+++ b/internal/slope/work.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/fakes"
+	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/store"
 	"github.com/cicadahall/cicadahall/work"
@@ -18,11 +16,10 @@
 
 const (
 	workKeep   = "bytes of one snapshot to the peer, both ways"
-	workZip    = "bytes of one snapshot to the peer, compressed, both ways"
 	workRow    = "bytes of one row"
 	workEncode = "processor time to take and encode a snapshot"
 	workDecode = "processor time to decode a peer's snapshot"
-	workKept   = "processor time of the call, compressed, both sides"
+	workKept   = "processor time of the call with a snapshot, both sides"
 	workHeap   = "heap of the counters"
 	workReads  = "row reads of all nodes, steady"
 	workWrites = "row writes of all nodes, steady"
@@ -30,7 +27,7 @@
 )
 
 var workRows = []string{
-	workKeep, workZip, workRow, workEncode, workDecode, workKept, workHeap, workReads, workWrites, workPeak,
+	workKeep, workRow, workEncode, workDecode, workKept, workHeap, workReads, workWrites, workPeak,
 }
 
 // callsPerHour is what one exit counts in an hour.
@@ -42,12 +39,11 @@
 func measureWork(ctx context.Context, _ Options) ([]Series, error) {
 	var b board
 	for _, s := range []Series{
-		{Name: workKeep, Unit: "B", Carrier: "cumulative counters to one peer, every 500 ms if changed"},
-		{Name: workZip, Unit: "B", Carrier: "proposed: the same with gzip on the call"},
+		{Name: workKeep, Unit: "B", Carrier: "cumulative counters to one peer, every 500 ms if changed; gzip from 512 bytes on"},
 		{Name: workRow, Unit: "B", Carrier: "cumulative counters, one row a node start"},
 		{Name: workEncode, Unit: "µs", Carrier: "every 500 ms if changed"},
 		{Name: workDecode, Unit: "µs", Carrier: "every 500 ms if changed"},
-		{Name: workKept, Unit: "µs", Carrier: "proposed: gzip on the call"},
+		{Name: workKept, Unit: "µs", Carrier: "gzip from 512 bytes on"},
 		{Name: workHeap, Unit: "B", Carrier: "at most 256 keys, the rest under (other)"},
 	} {
 		s.By, s.Size = "keys", workKeys
@@ -112,35 +108,24 @@
 	b.add(workDecode, n, microseconds(func() { _, _ = work.Decode(encoded) }))
 	b.add(workHeap, n, heapOf(func() any { return ledgerOf("service-17-187", n) }))
 	q := &wirepb.KeepRequest{Node: string(s.Node), Start: uint64(s.Start), Sequence: 7200, Snapshot: encoded}
-	plain, err := peerBytes(&fixedPeer{}, func(c wirepb.PeerClient) error {
-		_, err := c.Keep(ctx, q)
-		return err
-	})
-	if err != nil {
-		return err
-	}
-	b.add(workKeep, n, plain)
-	return measureZip(ctx, b, n, q)
-}
-
-// measureZip sends a snapshot with gzip on the call.
-func measureZip(ctx context.Context, b *board, n int, q *wirepb.KeepRequest) error {
 	w, err := servePeer(&fixedPeer{})
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	t := &http.Transport{}
-	defer t.CloseIdleConnections()
-	zip := wirepb.NewPeerClient(&http.Client{Transport: t}, "http://"+w.address, connect.WithSendGzip())
+	pool := peer.NewPool(peer.Options{Body: bodyLimit})
+	defer pool.Close()
 	call := func() error {
-		_, err := zip.Keep(ctx, q)
+		_, err := pool.Client(w.address).Keep(ctx, q)
 		return err
 	}
-	small, err := w.perCall(call)
-	b.add(workZip, n, small)
+	size, err := w.perCall(call)
+	if err != nil {
+		return err
+	}
+	b.add(workKeep, n, size)
 	b.add(workKept, n, microseconds(func() { _ = call() }))
-	return err
+	return nil
 }
 
 // keeperMinutes is the virtual time over which the row writes are counted.
