Make the freeze and stop tests meet requests in flight

Two deliberate faults went unnoticed: a resolve that fails called "not run" (TestNodeFrozen), and a stop without drain or graceful close (TestPlannedStop). Entries prefer their own failure domain, so hardly any request reached the frozen node, and at 10 ms a request few were in flight.

The load now enters at a node in the domain of the faulty one, freezes are short against the callers' deadline, and upstreams are slow during the stop.

--- a/internal/chaos/crash_test.go
+++ b/internal/chaos/crash_test.go
@@ -56,12 +56,16 @@
 // Guards against a resumed node that executes requests whose callers have
 // been told the outcome, and against one that is never used again.
 func TestNodeFrozen(t *testing.T) {
-	s := start(t, chaos.Options{})
+	s := start(t, chaos.Options{Rate: 200, Only: []string{"browse", "lesson", "commission"}})
 	w := s.Workers[0]
 	assert.NilError(t, s.Leave(w))
-	for range 2 {
+	// The one entry is in the domain of the frozen node, which it prefers.
+	s.Load.SetEntries([]string{s.Workers[3].Callers})
+	// Short freezes end before the deadlines of the requests that arrived
+	// meanwhile, the last one ends after them.
+	for _, n := range []int{250, 250, 250, 800} {
 		assert.NilError(t, w.Node.Signal(syscall.SIGSTOP))
-		assert.NilError(t, s.More(300))
+		assert.NilError(t, s.More(n))
 		assert.NilError(t, w.Node.Signal(syscall.SIGCONT))
 		assert.NilError(t, s.Works(w))
 	}
@@ -116,6 +120,13 @@
 func TestPlannedStop(t *testing.T) {
 	s := start(t, chaos.Options{})
 	node, upstream := s.Workers[0], s.Workers[1]
+	// Slow upstreams have requests in flight at any time, and the entries are
+	// the stopping node and one that prefers it.
+	s.Load.SetEntries([]string{node.Callers, s.Workers[3].Callers})
+	for _, w := range s.Workers {
+		assert.NilError(t, chaos.Post(w.Address, "/fault", stand.UpstreamFault{Slow: 6}))
+	}
+	assert.NilError(t, s.More(100))
 	assert.NilError(t, chaos.Post(upstream.Local, "/drain", struct{}{}))
 	clean := make(chan bool, 1)
 	go func() { clean <- node.Node.Stop() }()
