Pass broken connections on to the limiter; use load reports as hints

Cause: finish cancelled the job's context before resultOf looked at it, so that no broken connection ever reached the limiter, and a cold upstream kept its full limit. POST /load was stored and never read. Ruled out: refusing work because of a report, which may mislead. Conclusion: found in the read-through; the result is taken before the end.

--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -78,7 +78,7 @@
 	keys     *fence.Keys[*wirepb.CallResponse]
 	jobs     map[ident.Request]*job
 	upstream Upstream
-	reported LoadReport
+	reported report
 	// draining is set while nothing is admitted, closing once that is final.
 	draining bool
 	closing  bool
@@ -284,9 +284,11 @@
 	if a.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED {
 		state = fence.Refused
 	}
+	// The result looks at the job's context, which end cancels.
+	result := resultOf(j, a)
 	e.end(j, a, state, now)
 	e.count(j.q, a, busy)
-	e.release(j, a, now)
+	e.limiter.Finish(j.id, result, now)
 }
 
 // end stores the answer and wakes everyone who waits for it.
--- a/internal/exit/exit_test.go
+++ b/internal/exit/exit_test.go
@@ -23,7 +23,7 @@
 	exit *exit.Exit
 	up   exit.Upstream
 	runs atomic.Int32
-	next byte
+	next uint64
 }
 
 func newBench(t *testing.T, slots ident.Slots, h http.HandlerFunc) *bench {
@@ -52,7 +52,7 @@
 // request returns a new request for the bench's upstream.
 func (b *bench) request(key string) *wirepb.CallRequest {
 	b.next++
-	id := ident.NewRequest(1, uint64(b.next))
+	id := ident.NewRequest(1, b.next)
 	return &wirepb.CallRequest{
 		Id: id[:], Start: 7, Service: "s", Version: "v1", Method: http.MethodPost, Path: "/x", Key: key,
 		DeadlineNanos: time.Now().Add(time.Minute).UnixNano(),
@@ -230,3 +230,41 @@
 	b.exit.Announce(b.up)
 	assert.Equal(t, b.exit.Probe(t.Context(), "/health"), exit.ProbeResult{})
 }
+
+// Guards against an upstream that died and came back cold being given its full
+// load: broken connections have to reach the limiter.
+func TestBrokenConnectionsLowerTheLimit(t *testing.T) {
+	var broken atomic.Bool
+	b := newBench(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		if broken.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		ok(w, r)
+	})
+	for range 400 {
+		b.call(t, b.request(""))
+	}
+	warm := b.exit.Load().GetLimit()
+	assert.Assert(t, warm > 1)
+	broken.Store(true)
+	for range 3 {
+		o, _ := b.call(t, b.request(""))
+		assert.Equal(t, o, unknown)
+	}
+	assert.Equal(t, b.exit.Load().GetLimit(), int32(1))
+}
+
+// Guards against a load report that hides capacity which traffic shows, and
+// against one that changes what the exit admits.
+func TestLoadReportIsOnlyAHint(t *testing.T) {
+	b := newBench(t, 4, ok)
+	s := httptest.NewServer(b.exit.Local())
+	defer s.Close()
+	r, err := http.Post(s.URL+"/load", "application/json", strings.NewReader(`{"inflight":3,"health":false}`))
+	assert.NilError(t, err)
+	r.Body.Close()
+	l := b.exit.Load()
+	assert.Equal(t, l.GetInflight(), l.GetLimit())
+	o, _ := b.call(t, b.request(""))
+	assert.Equal(t, o, ran)
+}
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -78,11 +78,6 @@
 	j.cancel()
 }
 
-// release gives the slot of a finished job back.
-func (e *Exit) release(j *job, a *wirepb.CallResponse, now time.Time) {
-	e.limiter.Finish(j.id, resultOf(j, a), now)
-}
-
 // refuseAll stops admission; queued jobs end as not run.
 func (e *Exit) refuseAll(now time.Time) {
 	e.draining = true
@@ -151,6 +146,7 @@
 	if !e.upstream.Ready || !e.o.Admits(mono.Now()) {
 		l.Limit = 0
 	}
+	l.Inflight = e.reported.inflight(l.Inflight, l.Limit)
 	return &wirepb.Hint{
 		Inflight:     l.Inflight,
 		Queued:       l.Queued,
--- a/internal/exit/local.go
+++ b/internal/exit/local.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/mono"
 )
 
 const (
@@ -34,6 +36,29 @@
 	Health bool `json:"health"`
 }
 
+// reportFresh is how long a load report counts. Load shifts in milliseconds;
+// an older report says nothing.
+const reportFresh = time.Second
+
+// report is a load report and when it arrived.
+type report struct {
+	load LoadReport
+	at   time.Time
+}
+
+// inflight returns the load to tell entries. Only while nothing runs through
+// this node does the upstream's own word count, such as work from elsewhere;
+// an unhealthy one then looks full. It never changes what is admitted.
+func (r report) inflight(observed, limit int32) int32 {
+	if observed > 0 || mono.Now().Sub(r.at) > reportFresh {
+		return observed
+	}
+	if !r.load.Health {
+		return limit
+	}
+	return max(0, min(r.load.Inflight, limit))
+}
+
 // Local returns the HTTP interface for the upstream beside the node.
 func (e *Exit) Local() http.Handler {
 	r := mux.NewRouter()
@@ -92,7 +117,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.reported = l
+	e.reported = report{load: l, at: mono.Now()}
 	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
