Settle abandoned copies and order hints by the exit's clock

Cause: a copy whose caller had gone, or that lost a hedge, never left the entry's count of requests in flight, so its member looked busier with every hedge. Hints carried no time, so an overtaken answer could replace a later one. Ruled out: counting an abandoned copy as a failure, because its end says nothing about the member. Measured: TestAbandonedRequestsLeaveTheCount fails without the change (the member gets 0 of 60 requests) and passes now; entry tests pass. Conclusion: every copy reports its end, whether somebody waits or not.

--- a/choose/peer.go
+++ b/choose/peer.go
@@ -112,6 +112,12 @@
 	}
 }
 
+// Abandoned records that the entry has stopped waiting for a request, such as
+// the slower copy of a hedged one. Its end says nothing about the member.
+func (c *Chooser) Abandoned(node ident.Node) {
+	c.settle(node)
+}
+
 // settle ends one own request; nil means that the member is gone.
 func (c *Chooser) settle(node ident.Node) *peer {
 	p := c.peers[node]
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,12 +121,12 @@
 }
 
 // hint converts the load that an answer carries.
-func hint(h *wirepb.Hint, now time.Time) choose.Hint {
+func hint(h *wirepb.Hint) choose.Hint {
 	return choose.Hint{
 		Inflight: h.GetInflight(),
 		Queued:   h.GetQueued(),
 		Limit:    h.GetLimit(),
 		Service:  time.Duration(h.GetServiceNanos()),
-		At:       now,
+		At:       time.Unix(0, h.GetAtNanos()),
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,6 +38,7 @@
 	t       *testing.T
 	entry   *entry.Entry
 	members map[string]*member
+	targets []entry.Target
 	server  *httptest.Server
 
 	mu    sync.Mutex
@@ -81,11 +82,10 @@
 		},
 		Emit: emit,
 	})
-	var targets []entry.Target
 	for i, u := range upstreams {
-		targets = append(targets, n.add(string(rune('a'+i)), u))
+		n.targets = append(n.targets, n.add(string(rune('a'+i)), u))
 	}
-	n.entry.Update(targets)
+	n.entry.Update(n.targets)
 	n.entry.SetCatalog(entry.NewCatalog(&spec.Manifest{Services: []spec.Service{{Name: "s", Version: "v1", Timeout: 5 * time.Second}}}))
 	n.server = httptest.NewServer(n.entry)
 	t.Cleanup(func() {
@@ -476,3 +476,29 @@
 	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
 	assert.Equal(t, n.runs(), 0)
 }
+
+// Guards against requests that their callers gave up counting as in flight for
+// good, which would keep a member out of use.
+func TestAbandonedRequestsLeaveTheCount(t *testing.T) {
+	n := newNetwork(t, ok, ok)
+	for i := range n.targets {
+		// With one slot a member isn't ramping up, so that only load decides.
+		n.targets[i].Member.Slots = 1
+	}
+	n.setCall(silent)
+	n.entry.Update(n.targets[:1])
+	impatient := &http.Client{Timeout: 20 * time.Millisecond}
+	for range 40 {
+		req, err := http.NewRequest(http.MethodPost, n.server.URL+"/x", http.NoBody)
+		assert.NilError(t, err)
+		req.Header.Set(call.HeaderService, "s")
+		_, err = impatient.Do(req)
+		assert.Assert(t, err != nil)
+	}
+	n.setCall(deliver)
+	n.entry.Update(n.targets)
+	for range 60 {
+		assert.Equal(t, n.send(http.MethodPost).outcome, call.Ran)
+	}
+	assert.Assert(t, n.members["a"].runs.Load() > 0, "member a is out of use")
+}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -152,7 +152,6 @@
 func (p *placement) ended(end copyEnd) retry.Action {
 	p.flying--
 	p.last = end
-	p.e.learn(p.q.service, end)
 	o := retry.Outcome(end.answer.GetOutcome())
 	if o != retry.NotRun || !slices.Contains(passing, end.answer.GetReason()) {
 		p.closed = append(p.closed, end.node)
@@ -204,7 +203,9 @@
 	go func() {
 		defer p.e.running.Done()
 		answer := p.e.run(ctx, t, m)
-		p.ends <- copyEnd{node: t.Member.Node, answer: answer, took: time.Since(now)}
+		end := copyEnd{node: t.Member.Node, answer: answer, took: mono.Now().Sub(now)}
+		p.e.learn(p.q.service, end, errors.Is(ctx.Err(), context.Canceled))
+		p.ends <- end
 	}()
 	return true
 }
@@ -315,19 +316,22 @@
 	return after
 }
 
-// learn passes the end of a copy on to the chooser.
-func (e *Entry) learn(s ident.Service, end copyEnd) {
+// learn passes the end of a copy on to the chooser, also if nobody waits for
+// the copy any more: it has to leave the count of requests in flight.
+func (e *Entry) learn(s ident.Service, end copyEnd, abandoned bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := mono.Now()
 	a := end.answer
 	switch {
+	case abandoned:
+		e.chooser.Abandoned(end.node)
 	case a.GetHint() == nil:
 		e.chooser.Failed(end.node, now)
 	case a.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED:
-		e.chooser.Refused(end.node, hint(a.GetHint(), now), now)
+		e.chooser.Refused(end.node, hint(a.GetHint()), now)
 	case a.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && a.GetStatus() < http.StatusInternalServerError:
-		e.chooser.Done(end.node, hint(a.GetHint(), now), end.took, now)
+		e.chooser.Done(end.node, hint(a.GetHint()), end.took, now)
 		e.delay(s).Observe(end.took)
 	default:
 		e.chooser.Failed(end.node, now)
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -152,6 +152,7 @@
 		Queued:       l.Queued,
 		Limit:        l.Limit,
 		ServiceNanos: int64(l.Service),
+		AtNanos:      l.At.UnixNano(),
 	}
 }
 
