Use a member last for a second once a request to it makes no progress

Cause: an entry learned of a silent or frozen member only when an attempt ended, up to 850 ms later, and sent further requests there meanwhile. Ruled out: a failure mark, which a node with one silent connection does not deserve; any answer ends the doubt. Conclusion: kept for the latency of the next requests; not measured alone.

--- a/choose/chooser_test.go
+++ b/choose/chooser_test.go
@@ -305,3 +305,35 @@
 	})
 	assert.Equal(t, allocs, 0.0)
 }
+
+// Guards against sending request after request to a member that has gone
+// silent, and against leaving it out after it has answered again.
+func TestDoubtfulMemberIsUsedLastUntilItAnswers(t *testing.T) {
+	c := choose.New(choose.Options{Domain: "a", Region: "r", Rand: random(1)})
+	c.Update(members(2))
+	now := time.Unix(0, 0)
+	q := choose.Query{Service: "s", Version: "v1"}
+	first, ok := c.Choose(q, now)
+	assert.Assert(t, ok)
+	c.Sent(first.Member.Node, now)
+	c.Doubt(first.Member.Node, now)
+	for _, m := range members(2) {
+		if m.Node != first.Member.Node {
+			c.Sent(m.Node, now)
+			c.Sent(m.Node, now)
+			c.Sent(m.Node, now)
+		}
+	}
+	for range 50 {
+		p, ok := c.Choose(q, now)
+		assert.Assert(t, ok)
+		assert.Assert(t, p.Member.Node != first.Member.Node)
+	}
+	c.Done(first.Member.Node, hint(0, now), time.Millisecond, now)
+	back := false
+	for range 50 {
+		p, _ := c.Choose(q, now)
+		back = back || p.Member.Node == first.Member.Node
+	}
+	assert.Assert(t, back)
+}
--- a/choose/peer.go
+++ b/choose/peer.go
@@ -45,6 +45,9 @@
 	heard  time.Time
 	// failing is the moving average of failures, from 0 to 1.
 	failing float64
+	// doubt is the time until which the member is used last, because a request
+	// to it makes no progress.
+	doubt time.Time
 	// pause and retry space the trial requests of a failing member.
 	pause time.Duration
 	retry time.Time
@@ -112,6 +115,19 @@
 	}
 }
 
+// doubtTime is how long a member without progress is used last. Membership
+// finds out within seconds; until then each request would cost its caller the
+// time after which a connection counts as silent.
+const doubtTime = time.Second
+
+// Doubt records that a request to node makes no progress. Any later answer of
+// the member ends the doubt.
+func (c *Chooser) Doubt(node ident.Node, now time.Time) {
+	if p := c.peers[node]; p != nil {
+		p.doubt = now.Add(doubtTime)
+	}
+}
+
 // Abandoned records that the entry has stopped waiting for a request, such as
 // the slower copy of a hedged one. Its end says nothing about the member.
 func (c *Chooser) Abandoned(node ident.Node) {
@@ -139,6 +155,7 @@
 		}
 	}
 	p.hint, p.heard = h, now
+	p.doubt = time.Time{}
 	p.others = max(0, float64(h.Inflight+h.Queued-known))
 	g := p.group
 	if h.Limit > 0 {
@@ -197,7 +214,7 @@
 
 // last reports whether the member is used only if no other is left.
 func (p *peer) last(now time.Time) bool {
-	if p.member.State == Suspect {
+	if p.member.State == Suspect || now.Before(p.doubt) {
 		return true
 	}
 	if p.failing >= failLimit && (p.own > 0 || now.Before(p.retry)) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -279,6 +279,7 @@
 	}
 	r := &remote{peers: e.o.Peers, address: t.Address, q: m}
 	r.silent = func() {
+		e.doubt(t.Member.Node)
 		e.o.Emit(event.ConnectionSilent,
 			event.F(event.Peer, t.Member.Node),
 			event.F(event.Address, t.Address),
@@ -294,6 +295,13 @@
 	return r.run(ctx)
 }
 
+// doubt tells the chooser about a member whose exit confirms nothing.
+func (e *Entry) doubt(n ident.Node) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.chooser.Doubt(n, mono.Now())
+}
+
 func requestID(b []byte) ident.Request {
 	var id ident.Request
 	copy(id[:], b)
