End the store calls of version moves with the node

Cause: they ran on a background context, so that a stopping node waited up to 3 s for a platform that is down. Conclusion: as in conf, the context comes from Run.

--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -43,10 +43,11 @@
 // moves drives the version moves of the manifest in force.
 type moves struct {
 	n    *Node
-	ctx  context.Context
 	wait sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ctx ends the calls under way; it is set by Run.
+	ctx      context.Context
 	runs     map[ident.Move]*run
 	services map[ident.Service]*service
 	rounds   int
@@ -68,6 +69,9 @@
 	t := time.NewTicker(moveTick)
 	defer t.Stop()
 	defer v.wait.Wait()
+	v.mu.Lock()
+	v.ctx = ctx
+	v.mu.Unlock()
 	ready()
 	for {
 		select {
@@ -141,10 +145,11 @@
 
 // commit is called with the lock held and sends a final row.
 func (v *moves) commit(r *run, q move.Proposal) {
+	parent := v.ctx
 	v.wait.Add(1)
 	go func() {
 		defer v.wait.Done()
-		ctx, cancel := context.WithTimeout(v.ctx, storeLimit)
+		ctx, cancel := context.WithTimeout(parent, storeLimit)
 		defer cancel()
 		res := store.Result{Outcome: store.Refused, Err: context.DeadlineExceeded}
 		if q.Before.IsZero() || time.Now().Before(q.Before) {
@@ -159,10 +164,11 @@
 // read is called with the lock held and gets a final row.
 func (v *moves) read(r *run) {
 	key := r.mover.Key()
+	parent := v.ctx
 	v.wait.Add(1)
 	go func() {
 		defer v.wait.Done()
-		ctx, cancel := context.WithTimeout(v.ctx, storeLimit)
+		ctx, cancel := context.WithTimeout(parent, storeLimit)
 		defer cancel()
 		row, res := v.n.table.Get(ctx, key)
 		v.mu.Lock()
