Read the head soon after the start

Cause: after a restart of all nodes none has a manifest until its first poll, up to 4 s later; requests were refused with reason config. Ruled out: a read at once, which with the join rows would exceed the platform's 2,000 reads a second at 1,100 nodes; the delay grows with the rows found, 500 reads a second.

--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// first reads the head of a node that has just started, unless gossip has
+// brought one before.
+func (c *conf) first() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.follower.Known() == (config.Head{}) {
+		c.fetchStore(config.Fetch{})
+	}
+}
+
 func (c *conf) body(d ident.Digest, body []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -27,6 +27,9 @@
 	// own write. Nodes that start together then write at most 200 rows a second,
 	// while a single node of a small system writes at once.
 	joinSpread = 5 * time.Millisecond
+	// headSpread is the same for the first reading of the head, at most 500 a
+	// second. A restarted system would otherwise refuse requests for up to 4 s.
+	headSpread = 2 * time.Millisecond
 )
 
 // joinRow is how nodes find each other through the table service.
@@ -44,7 +47,9 @@
 	}
 	if seeds, ok := r.scanJoin(ctx); ok {
 		set(seeds)
-		sleep(ctx, time.Duration(rand.Int64N(int64(len(seeds)+1)*int64(joinSpread))))
+		sleep(ctx, spread(len(seeds), headSpread))
+		r.n.conf.first()
+		sleep(ctx, spread(len(seeds), joinSpread))
 	}
 	for ctx.Err() == nil {
 		seeds, ok := r.fromTable(ctx)
@@ -60,6 +65,12 @@
 	}
 }
 
+// spread returns a random delay that grows with the number of nodes that may
+// have started together.
+func spread(nodes int, each time.Duration) time.Duration {
+	return time.Duration(rand.Int64N(int64(nodes+1) * int64(each)))
+}
+
 // jitter returns a random duration between half and one and a half times d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
