Read the first body from the store without asking peers

Cause: after a restart of all nodes no peer has the body, and the follower gives peers 1 to 3 s before it reads the store. Ruled out: a shorter grace for all heads, which gossip brings to all nodes in the same second. The time until a node is ready was not measured alone. Conclusion: only a node without any manifest does so.

--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -84,6 +84,12 @@
 	c.offer(h)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.fetchBody(h)
+}
+
+// fetchBody is called with the lock held and reads a body from the store
+// without asking peers first, unless it is in force.
+func (c *conf) fetchBody(h config.Head) {
 	if c.follower.Known() == h && c.follower.Head() != h {
 		c.fetchStore(config.Fetch{Digest: h.Digest})
 	}
@@ -154,6 +160,13 @@
 		return
 	}
 	c.offer(h)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active == (config.Head{}) {
+		// A node without a manifest refuses all requests, and after a restart
+		// of all nodes no peer has the body. The reads of the head are spread.
+		c.fetchBody(h)
+	}
 }
 
 // fetchPeer is called with the lock held and asks one random member.
