--- a/internal/slope/move.go
+++ b/internal/slope/move.go
@@ -32,7 +32,7 @@
 func measureMove(ctx context.Context, _ Options) ([]Series, error) {
 	var b board
 	for _, s := range []Series{
-		{Name: moveFresh, Unit: "B", Carrier: "delta: the windows of the last 2 s of all members"},
+		{Name: moveFresh, Unit: "B", Carrier: "delta: own windows of the last 2 s, answered by those of all members"},
 		{Name: moveFull, Unit: "B", Carrier: "all windows, each 20th exchange"},
 		{Name: moveOwn, Unit: "B", Carrier: "proposed: own windows of the last 2 s only"},
 		{Name: moveTime, Unit: "µs", Carrier: "merge by maximum"},
@@ -60,12 +60,12 @@
 	}
 	a := g.movers[0]
 	c := g.movers[1]
-	for name, rows := range map[string]func(*move.Mover) move.Evidence{
-		moveFresh: func(m *move.Mover) move.Evidence { return m.Fresh(g.now) },
-		moveFull:  func(m *move.Mover) move.Evidence { return m.Evidence() },
-		moveOwn:   func(m *move.Mover) move.Evidence { return ownRow(m, g.now, g.nameOf(m)) },
-	} {
-		size, err := shareBytes(ctx, rows(a), rows(c))
+	// A request carries the own counters only, except in a full exchange.
+	fresh := exchange{ask: ownRow(a, g.now, g.nameOf(a)), answer: c.Fresh(g.now)}
+	full := exchange{ask: a.Evidence(), answer: c.Evidence()}
+	own := exchange{ask: fresh.ask, answer: ownRow(c, g.now, g.nameOf(c))}
+	for name, x := range map[string]exchange{moveFresh: fresh, moveFull: full, moveOwn: own} {
+		size, err := x.bytes(ctx)
 		if err != nil {
 			return err
 		}
@@ -169,10 +169,16 @@
 	return e
 }
 
-// shareBytes sends one exchange over loopback.
-func shareBytes(ctx context.Context, ask, answer move.Evidence) (float64, error) {
-	p := &fixedPeer{share: &wirepb.ShareResponse{Rows: evidenceRows(answer), Moves: moveStates(answer)}}
-	q := &wirepb.ShareRequest{Source: "service-17-0", Rows: evidenceRows(ask), Moves: moveStates(ask)}
+// exchange is the evidence in one request and in its answer.
+type exchange struct {
+	ask    move.Evidence
+	answer move.Evidence
+}
+
+// bytes sends the exchange over loopback.
+func (x exchange) bytes(ctx context.Context) (float64, error) {
+	p := &fixedPeer{share: &wirepb.ShareResponse{Rows: evidenceRows(x.answer), Moves: moveStates(x.answer)}}
+	q := &wirepb.ShareRequest{Source: "service-17-0", Rows: evidenceRows(x.ask), Moves: moveStates(x.ask)}
 	return peerBytes(p, func(c wirepb.PeerClient) error {
 		_, err := c.Share(ctx, q)
 		return err
