Remove what stood twice around requests, waiting and key homes

A request id was read from its wire form in three places, the chain headers were written beside retry.Chain.Set and named twice, three packages had the same sleep, a refused job was ended in two places, and the members that can be a key's home were computed twice for each change. A job's begin time was set and never read. Ruled out: merging the sleeps of config and slope, a public package without internal imports and one with another result. Conclusion: behaviour is unchanged, tests are untouched.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -9,7 +9,9 @@
 	"slices"
 	"strings"
 
+	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
+	"github.com/cicadahall/cicadahall/retry"
 )
 
 // Headers of the callers' interface.
@@ -18,10 +20,10 @@
 	HeaderVersion    = "Cicadahall-Version"
 	HeaderRoute      = "Cicadahall-Route"
 	HeaderIdempotent = "Cicadahall-Idempotent"
-	HeaderTimeout    = "Cicadahall-Timeout"
+	HeaderTimeout    = retry.TimeoutHeader
 	HeaderCaller     = "Cicadahall-Caller"
-	HeaderAttempts   = "Cicadahall-Attempts"
-	HeaderDepth      = "Cicadahall-Depth"
+	HeaderAttempts   = retry.AttemptsHeader
+	HeaderDepth      = retry.DepthHeader
 	HeaderOutcome    = "Cicadahall-Outcome"
 	HeaderRequest    = "Cicadahall-Request"
 	HeaderReason     = "Cicadahall-Reason"
@@ -51,6 +53,13 @@
 	}
 }
 
+// RequestID reads a request id from its wire form.
+func RequestID(b []byte) ident.Request {
+	var id ident.Request
+	copy(id[:], b)
+	return id
+}
+
 // ReasonOf returns the short word for a reason, as used in headers and logs.
 func ReasonOf(r wirepb.Reason) string {
 	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -152,7 +153,7 @@
 		if m.q.GetIdempotent() || neverSent(err) {
 			return m.unknown(wirepb.Reason_REASON_LOST)
 		}
-		wait(ctx, resolvePause)
+		mono.Sleep(ctx, resolvePause)
 	}
 	return m.unknown(wirepb.Reason_REASON_LATE)
 }
@@ -185,12 +186,3 @@
 func (m *remote) unknown(r wirepb.Reason) *wirepb.CallResponse {
 	return &wirepb.CallResponse{Id: m.q.GetId(), Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: r}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,8 +85,9 @@
 	e.catalog.Store(c)
 }
 
-// Update replaces the members.
-func (e *Entry) Update(targets []Target) {
+// Update replaces the members. It returns, by service and in order, the members
+// that can be the home of a caller's key: the exits have to use the same.
+func (e *Entry) Update(targets []Target) map[ident.Service][]ident.Node {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	members := make([]choose.Member, 0, len(targets))
@@ -97,12 +98,11 @@
 	}
 	e.chooser.Update(members)
 	e.targets = byNode
-	e.homes = Homes(members)
+	e.homes = homesOf(members)
+	return e.homes
 }
 
-// Homes lists, by service and in order, the members that can be the home of a
-// caller's key. Entries and exits have to agree on them.
-func Homes(members []choose.Member) map[ident.Service][]ident.Node {
+func homesOf(members []choose.Member) map[ident.Service][]ident.Node {
 	homes := map[ident.Service][]ident.Node{}
 	for _, m := range members {
 		if m.State != choose.Leaving {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -115,7 +115,7 @@
 		return p.last.answer
 	case retry.Elsewhere:
 		if a.Pause > 0 {
-			wait(ctx, a.Pause)
+			mono.Sleep(ctx, a.Pause)
 		}
 		if p.send(ctx, a.Last) || p.flying > 0 {
 			return nil
@@ -287,7 +287,7 @@
 	}
 	r.resolved = func(a *wirepb.CallResponse, took time.Duration) {
 		e.o.Emit(event.RequestResolved,
-			event.F(event.Request, requestID(m.GetId())),
+			event.F(event.Request, call.RequestID(m.GetId())),
 			event.F(event.Peer, t.Member.Node),
 			event.F(event.Outcome, call.OutcomeOf(a.GetOutcome())),
 			event.F(event.Elapsed, took))
@@ -302,12 +302,6 @@
 	e.chooser.Doubt(n, mono.Now())
 }
 
-func requestID(b []byte) ident.Request {
-	var id ident.Request
-	copy(id[:], b)
-	return id
-}
-
 // hedgeDelay returns when a copy is worth sending a second time. Only
 // requests that may run twice are hedged; the plan sees to that.
 func (p *placement) hedgeDelay() time.Duration {
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -9,15 +9,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
+	"github.com/cicadahall/cicadahall/retry"
 )
 
 const (
@@ -165,12 +164,8 @@
 
 // chain sets the headers that an upstream hands down when it calls further.
 func chain(h http.Header, q *wirepb.CallRequest, left time.Duration) {
-	var id ident.Request
-	copy(id[:], q.GetId())
-	h.Set(call.HeaderRequest, id.String())
-	h.Set(call.HeaderTimeout, left.String())
-	h.Set(call.HeaderAttempts, strconv.Itoa(int(q.GetAttempts())))
-	h.Set(call.HeaderDepth, strconv.Itoa(int(q.GetDepth())))
+	retry.Chain{Attempts: int(q.GetAttempts()), Depth: int(q.GetDepth()), Left: left}.Set(h)
+	h.Set(call.HeaderRequest, call.RequestID(q.GetId()).String())
 	h.Set(call.HeaderCaller, q.GetCaller())
 }
 
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -17,6 +17,7 @@
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/call"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
@@ -62,7 +63,6 @@
 	cancel context.CancelFunc
 	ctx    context.Context
 	done   chan struct{}
-	began  time.Time
 	// answer is set before done is closed.
 	answer *wirepb.CallResponse
 }
@@ -191,7 +191,7 @@
 	defer e.mu.Unlock()
 	now := mono.Now()
 	deadline := time.Unix(0, q.GetDeadlineNanos())
-	id := requestID(q.GetId())
+	id := call.RequestID(q.GetId())
 	v := e.fences.Begin(id, ident.Start(q.GetStart()), deadline, now)
 	if v.Kind != fence.Run {
 		return e.duplicate(id, q, v, refusal)
@@ -203,7 +203,7 @@
 		return nil, e.answerByKey(id, q, a, now)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(now))
-	j := &job{id: id, q: q, ctx: ctx, cancel: cancel, done: make(chan struct{}), began: now}
+	j := &job{id: id, q: q, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	e.jobs[id] = j
 	e.running.Add(1)
 	e.offer(j, deadline, now)
@@ -261,7 +261,7 @@
 
 // refuse ends a request that the fence let through without running it.
 func (e *Exit) refuse(q *wirepb.CallRequest, a *wirepb.CallResponse, now time.Time) *wirepb.CallResponse {
-	e.fences.Finish(requestID(q.GetId()), fence.Answer[*wirepb.CallResponse]{State: fence.Refused, Value: a}, now)
+	e.fences.Finish(call.RequestID(q.GetId()), fence.Answer[*wirepb.CallResponse]{State: fence.Refused, Value: a}, now)
 	e.count(q, a, 0)
 	return a
 }
@@ -327,7 +327,7 @@
 func (e *Exit) look(r *wirepb.ResolveRequest) (*job, *wirepb.CallResponse) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	id := requestID(r.GetId())
+	id := call.RequestID(r.GetId())
 	q := &wirepb.CallRequest{Id: r.GetId()}
 	v := e.fences.Cancel(id, ident.Start(r.GetStart()), time.Unix(0, r.GetDeadlineNanos()), mono.Now())
 	return e.duplicate(id, q, v, unknown)
@@ -380,9 +380,3 @@
 	<-e.ended
 	e.dispatch.close()
 }
-
-func requestID(b []byte) ident.Request {
-	var id ident.Request
-	copy(id[:], b)
-	return id
-}
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -33,7 +33,7 @@
 	return admit.New(admit.Options{
 		Slots:  e.upstream.Slots,
 		Queue:  e.o.Queue,
-		Start:  func(t admit.Ticket, now time.Time) { e.begin(e.jobs[t.ID], now) },
+		Start:  func(t admit.Ticket, _ time.Time) { e.begin(e.jobs[t.ID]) },
 		Expire: e.giveUp,
 	})
 }
@@ -43,26 +43,27 @@
 	d := e.limiter.Offer(admit.Ticket{ID: j.id, Deadline: deadline, Last: j.q.GetLast()}, now)
 	switch d.Verdict {
 	case admit.Run:
-		e.begin(j, now)
+		e.begin(j)
 	case admit.Refuse:
 		a := refusal(j.q, reasonOf(d.Reason))
 		a.RetryNanos = int64(d.RetryAfter)
-		e.end(j, a, fence.Refused, now)
-		e.count(j.q, a, 0)
+		e.turnAway(j, a, now)
 	}
 }
 
 // begin dispatches a job; it is called with the lock held.
-func (e *Exit) begin(j *job, now time.Time) {
-	j.began = now
-	address := e.upstream.Address
-	go e.run(j, address)
+func (e *Exit) begin(j *job) {
+	go e.run(j, e.upstream.Address)
 }
 
 // giveUp ends a job that has left the queue without having run.
 func (e *Exit) giveUp(t admit.Ticket, r admit.Reason, now time.Time) {
 	j := e.jobs[t.ID]
-	a := refusal(j.q, reasonOf(r))
+	e.turnAway(j, refusal(j.q, reasonOf(r)), now)
+}
+
+// turnAway ends a job that the limiter doesn't run.
+func (e *Exit) turnAway(j *job, a *wirepb.CallResponse, now time.Time) {
 	e.end(j, a, fence.Refused, now)
 	e.count(j.q, a, 0)
 }
--- a/internal/mono/mono.go
+++ b/internal/mono/mono.go
@@ -7,7 +7,10 @@
 // fence could admit a request again.
 package mono
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 var began = time.Now()
 
@@ -21,3 +24,13 @@
 func Until(deadline time.Time) time.Duration {
 	return deadline.Sub(Now())
 }
+
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/gossip"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/member"
 	"github.com/cicadahall/cicadahall/store"
@@ -47,9 +48,9 @@
 	}
 	if seeds, ok := r.scanJoin(ctx); ok {
 		set(seeds)
-		sleep(ctx, spread(len(seeds), headSpread))
+		mono.Sleep(ctx, spread(len(seeds), headSpread))
 		r.n.conf.first()
-		sleep(ctx, spread(len(seeds), joinSpread))
+		mono.Sleep(ctx, spread(len(seeds), joinSpread))
 	}
 	for ctx.Err() == nil {
 		seeds, ok := r.fromTable(ctx)
@@ -61,7 +62,7 @@
 		if len(seeds) > 0 {
 			set(seeds)
 		}
-		sleep(ctx, jitter(pause))
+		mono.Sleep(ctx, jitter(pause))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/entry"
 	"github.com/cicadahall/cicadahall/internal/exit"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/plat"
 	"github.com/cicadahall/cicadahall/internal/spec"
@@ -194,7 +195,7 @@
 	n.log.Emit(event.NodeDraining, event.F(event.Reason, "signal"), event.F(event.Count, n.exit.Running()))
 	n.leaving.Store(true)
 	n.roster.leave()
-	sleep(limit, drainNotice)
+	mono.Sleep(limit, drainNotice)
 	cut := n.exit.Drain(limit)
 	n.works.finish(limit)
 	err := s.Close()
@@ -210,12 +211,3 @@
 
 // errCut reports running requests that didn't end within the drain time.
 var errCut = errors.New("running requests were cut at the end of the drain time")
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -189,13 +189,9 @@
 // publish hands the members to the entry and to the exit's key fences.
 func (r *roster) publish() {
 	targets := r.targets()
-	r.n.entry.Update(targets)
-	members := make([]choose.Member, 0, len(targets))
-	for _, t := range targets {
-		members = append(members, t.Member)
-	}
+	homes := r.n.entry.Update(targets)
 	r.n.pool.Forget(r.addresses())
-	r.n.exit.SetMembers(entry.Homes(members)[r.n.exit.Upstream().Service])
+	r.n.exit.SetMembers(homes[r.n.exit.Upstream().Service])
 }
 
 // addresses lists the members that connections are kept to.
--- a/internal/node/works.go
+++ b/internal/node/works.go
@@ -9,6 +9,7 @@
 	"github.com/cicadahall/cicadahall/event"
 
 	"github.com/cicadahall/cicadahall/internal/exit"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/member"
 	"github.com/cicadahall/cicadahall/work"
@@ -73,7 +74,7 @@
 	defer t.Stop()
 	ready()
 	// Nodes that have started together don't send their copies together.
-	sleep(ctx, time.Duration(rand.Int64N(int64(work.KeepEvery))))
+	mono.Sleep(ctx, time.Duration(rand.Int64N(int64(work.KeepEvery))))
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/cicadahall/cicadahall/internal/fakes"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/plat"
 	"github.com/cicadahall/cicadahall/store"
 )
@@ -118,19 +118,10 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	pause(r.Context(), d)
+	mono.Sleep(r.Context(), d)
 	handle(w, r)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // discard drops an answer that is to be lost.
 type discard struct{ header http.Header }
 
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -17,6 +17,7 @@
 
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/mono"
 )
 
 // HeaderOrder is the caller's own number of a booking or commission. The
@@ -166,7 +167,7 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	pause(r.Context(), x.pause)
+	mono.Sleep(r.Context(), x.pause)
 	if strings.HasPrefix(r.URL.Path, "/confirm") && u.o.Next != "" {
 		u.confirm(w, r)
 		return
@@ -233,7 +234,7 @@
 		return err
 	}
 	for u.busy() && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		mono.Sleep(ctx, drainPoll)
 	}
 	return u.post(ctx, "/withdraw", struct{}{})
 }
