--- a/admit/admit.go
+++ b/admit/admit.go
@@ -25,6 +25,12 @@
 	Deadline time.Time
 	// Last marks a request that will not be tried elsewhere and may wait.
 	Last bool
+	// Route, Objective and Priority are used by a Gate only: the route for the
+	// expected work, the time by which an answer has its full worth, and the
+	// rank in the queue, of which 0 is the first.
+	Route     ident.Route
+	Objective time.Time
+	Priority  int
 }
 
 // Verdict tells what happens to a ticket.
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -50,6 +50,9 @@
 	Limit int32
 	// Service is the recent mean service time.
 	Service time.Duration
+	// Slow is how long work takes at the upstream now, in percent of the usual
+	// time; 0 if the upstream doesn't report it.
+	Slow int32
 	// At is the exit's clock and is only compared with hints of the same exit.
 	At time.Time
 }
--- a/choose/peer.go
+++ b/choose/peer.go
@@ -26,6 +26,11 @@
 	lastPause = 30 * time.Second
 	// closedPause is the time that a member which admits nothing is used last.
 	closedPause = 250 * time.Millisecond
+	// strainedPercent is the reported slowness from which another member is
+	// preferred, and strainedFor the time that such a report counts: the
+	// slowness of a shared instance lasts for about half a second.
+	strainedPercent = 200
+	strainedFor     = 250 * time.Millisecond
 	// recent is the number of send times kept per member.
 	recent = 4
 )
@@ -212,6 +217,12 @@
 	return max(0, float64(p.hint.Service)/p.group.service-normalSpread)
 }
 
+// strained reports whether the member has just told that its work takes
+// several times as long as usual.
+func (p *peer) strained(now time.Time) bool {
+	return p.hint.Slow >= strainedPercent && now.Sub(p.heard) < strainedFor
+}
+
 // last reports whether the member is used only if no other is left.
 func (p *peer) last(now time.Time) bool {
 	if p.member.State == Suspect || now.Before(p.doubt) {
--- a/choose/search.go
+++ b/choose/search.go
@@ -138,12 +138,19 @@
 		r = last
 	case !c.drawn(p, weight, limit):
 		r = held
+	case p.strained(s.now):
 	case busy+spare <= limit:
 		r = free
 	}
 	score := busy/limit + slowWeight*p.slowness()
+	if p.strained(s.now) {
+		score += float64(p.hint.Slow) / strainedPercent
+	}
 	if s.query.Last {
 		score = (busy + 1) / limit * (1 + p.slowness())
+		if p.strained(s.now) {
+			score *= float64(p.hint.Slow) / strainedPercent
+		}
 	}
 	if p.failing >= failLimit && r == free {
 		score = trialScore
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -26,6 +26,13 @@
 	Domain   Name = "domain"
 	Elapsed  Name = "elapsed"
 	Error    Name = "error"
+	Fence    Name = "fence"
+	Instance Name = "instance"
+	Key      Name = "key"
+	Queued   Name = "queued"
+	Ready    Name = "ready"
+	Running  Name = "running"
+	Slow     Name = "slow"
 	Failed   Name = "failed"
 	Limit    Name = "limit"
 	Move     Name = "move"
@@ -60,6 +67,10 @@
 	{NodeReady, "node-ready", Info, []Name{Elapsed}, "The node accepts calls."},
 	{NodeDraining, "node-draining", Info, []Name{Reason, Count}, "A planned shutdown has begun. Count is the number of running requests."},
 	{NodeStopped, "node-stopped", Info, []Name{Elapsed, Count}, "The node has closed all parts. Count is the number of interrupted requests."},
+	{PortMissing, "port-missing", Warn, []Name{Address, Error}, "An optional listener couldn't be opened; the node works without it."},
+	{SettingsChanged, "settings-changed", Info, []Name{Count}, "The settings were read again after a signal. Count is the number of seeds."},
+	{SettingsRejected, "settings-rejected", Warn, []Name{Error}, "The settings file can't be used; the settings before stay in force."},
+	{LinesDropped, "lines-dropped", Warn, []Name{Count}, "Log lines were dropped because the output was too slow or there were too many. Count is their number."},
 	{ChildStarted, "child-started", Debug, []Name{Child}, "The supervisor has started a child."},
 	{ChildRestarted, "child-restarted", Warn, []Name{Child, Error, Count}, "A child has failed and starts again. Count is the number of restarts in the window."},
 	{ChildGaveUp, "child-gave-up", Fault, []Name{Child, Error, Count}, "A child has failed more often than allowed; the node closes."},
@@ -78,15 +89,23 @@
 	{UpstreamWarm, "upstream-warm", Info, []Name{Service, Version, Limit, Elapsed}, "The limit has reached the announced slots again."},
 	{UpstreamFailing, "upstream-failing", Warn, []Name{Service, Version, Failed, Total}, "The upstream fails fast."},
 	{LimitChanged, "limit-changed", Debug, []Name{Service, Limit, Reason}, "The adaptive limit has changed."},
+	{BeatRejected, "beat-rejected", Warn, []Name{Instance, Address, Error}, "A heartbeat was refused and changed nothing."},
+	{UpstreamLost, "upstream-lost", Warn, []Name{Instance, Address, Reason}, "The upstream takes no connections. Reason is what found it."},
+	{UpstreamFound, "upstream-found", Info, []Name{Instance, Address}, "An upstream that was lost answers health checks again."},
 	{RequestRefused, "request-refused", Debug, []Name{Request, Service, Route, Caller, Reason}, "A request was refused and did not run."},
 	{RequestUnknown, "request-unknown", Warn, []Name{Request, Service, Route, Caller, Peer, Reason}, "The outcome of a request is not known."},
 	{RequestResolved, "request-resolved", Info, []Name{Request, Peer, Outcome, Elapsed}, "A request with a lost response was brought to a known outcome."},
 	{ConnectionSilent, "connection-silent", Warn, []Name{Peer, Address, Elapsed}, "A connection made no progress and was discarded."},
+	{RequestServed, "request-served", Info, []Name{Request, Fence, Route, Service, Outcome, Reason, Status, Deadline, Elapsed}, "A caller got an upstream's answer. Request is the caller's id, Fence the id between nodes, Deadline the time that the request had."},
+	{RequestFailed, "request-failed", Info, []Name{Request, Fence, Route, Service, Outcome, Reason, Status, Deadline, Elapsed}, "A caller got a failure. Fields as in request-served."},
+	{TryEnded, "try-ended", Info, []Name{Request, Peer, Outcome, Reason, Status, Slow, Queued, Running, Limit, Elapsed}, "One copy of a request has ended at a node. Request is the id between nodes; the load is the exit's at its answer."},
+	{RequestRun, "request-run", Info, []Name{Request, Route, Instance, Outcome, Reason, Status, Error}, "The exit has sent a request to its upstream. Request is the id between nodes."},
 	{ManifestPublished, "manifest-published", Info, []Name{Revision, Digest, Change}, "A manifest was accepted by the store."},
 	{ManifestAdopted, "manifest-adopted", Info, []Name{Revision, Digest, Elapsed}, "This node has put a manifest in force."},
 	{ManifestRejected, "manifest-rejected", Fault, []Name{Revision, Digest, Error}, "This node can't read an accepted manifest and keeps the one before."},
 	{StoreDown, "store-down", Warn, []Name{Store, Error}, "A service of the platform does not answer."},
 	{StoreUp, "store-up", Info, []Name{Store, Elapsed}, "A service of the platform answers again. Elapsed is the length of the outage."},
+	{RowRejected, "row-rejected", Warn, []Name{Key, Peer, Error}, "A row of the store or of another node can't be read and was left out."},
 	{DomainOut, "domain-out", Warn, []Name{Domain, Revision}, "A failure domain gets no new work."},
 	{DomainIn, "domain-in", Info, []Name{Domain, Revision}, "A failure domain is back; its share ramps up."},
 	{MoveStarted, "move-started", Info, []Name{Move, Service, Version, Deadline}, "A version move has started. Version is the new one."},
--- a/event/code.go
+++ b/event/code.go
@@ -12,6 +12,10 @@
 	NodeReady
 	NodeDraining
 	NodeStopped
+	PortMissing
+	SettingsChanged
+	SettingsRejected
+	LinesDropped
 )
 
 // Supervisor: 200 to 299.
@@ -42,6 +46,9 @@
 	UpstreamWarm
 	UpstreamFailing
 	LimitChanged
+	BeatRejected
+	UpstreamLost
+	UpstreamFound
 )
 
 // Requests: 500 to 599.
@@ -50,6 +57,10 @@
 	RequestUnknown
 	RequestResolved
 	ConnectionSilent
+	RequestServed
+	RequestFailed
+	TryEnded
+	RequestRun
 )
 
 // Configuration: 600 to 699.
@@ -63,6 +74,7 @@
 const (
 	StoreDown Code = 700 + iota
 	StoreUp
+	RowRejected
 )
 
 // Failure domains: 800 to 899.
--- /dev/null
+++ b/internal/cmd/verbs/side.go
@@ -0,0 +1,53 @@
+package verbs
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/internal/fleet"
+	"github.com/cicadahall/cicadahall/internal/spec"
+	"github.com/cicadahall/cicadahall/platform"
+)
+
+type sideVerb struct {
+	s streams
+}
+
+// readSide reads the settings that the platform has placed.
+func readSide() (*spec.Side, error) {
+	path, body, err := platform.Settings()
+	if err != nil {
+		return nil, err
+	}
+	return spec.ParseSide(path, body)
+}
+
+// Execute runs a node on the users' platform until SIGTERM, then drains it.
+func (v *sideVerb) Execute([]string) error {
+	s, err := readSide()
+	if err != nil {
+		return failure{code: exitFailed, err: err}
+	}
+	setCollector()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan struct{}, 1)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			select {
+			case reload <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	n, err := fleet.New(fleet.Options{Settings: s, Reload: readSide, Output: event.Output(v.s.out), Version: Number})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx, reload)
+}
--- a/internal/cmd/verbs/verbs.go
+++ b/internal/cmd/verbs/verbs.go
@@ -60,6 +60,7 @@
 func table(s streams) []verb {
 	return []verb{
 		{"node", "run a node", "Runs a node beside an upstream until SIGTERM, which drains it.\n\nExample: cicadahall node /etc/cicadahall/node.json", &nodeVerb{s: s}},
+		{"side", "run a node on the users' platform", "Runs a node beside an upstream on the users' platform until SIGTERM, which drains it.\nThe platform places the settings (deploy/settings.json) and names them to the process.\n\nExample: cicadahall side", &sideVerb{s: s}},
 		{"apply", "publish a manifest", "Checks and publishes a manifest and waits until it is in force.\n\nExample: cicadahall apply --table http://10.0.0.5:7100 --objects http://10.0.0.5:7101 --peer 10.0.1.1:7001 manifest.json", &applyVerb{s: s}},
 		{"check", "check manifests and settings", checkHelp, &checkVerb{s: s}},
 		{"report", "show the work of all services", reportHelp, &reportVerb{s: s}},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,11 @@
 	Local Local
 	// Emit records an event.
 	Emit func(code event.Code, fields ...event.Field)
+	// Budget bounds the extra runs; zero fields take the defaults of retry.
+	Budget retry.BudgetOptions
+	// Again is set if a failure that an upstream reports of a request that may
+	// run twice is worth another upstream, within Budget.
+	Again bool
 }
 
 // Target is a member and how to reach it.
@@ -75,7 +80,7 @@
 			Weight: o.Weight,
 		}),
 		targets: map[ident.Node]Target{},
-		budget:  retry.NewBudget(retry.BudgetOptions{}),
+		budget:  retry.NewBudget(o.Budget),
 		delays:  map[ident.Service]*retry.Delay{},
 	}
 }
@@ -127,6 +132,7 @@
 		Queued:   h.GetQueued(),
 		Limit:    h.GetLimit(),
 		Service:  time.Duration(h.GetServiceNanos()),
+		Slow:     h.GetSlow(),
 		At:       time.Unix(0, h.GetAtNanos()),
 	}
 }
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -57,12 +58,15 @@
 	idempotent runs
 	chain      retry.Chain
 	// timed is set if the caller has named a timeout.
-	timed  bool
-	host   string
-	method string
-	path   string
-	header http.Header
-	body   []byte
+	timed bool
+	// priority and objective serve admission at the exit; see admit.Ticket.
+	priority  int
+	objective time.Time
+	host      string
+	method    string
+	path      string
+	header    http.Header
+	body      []byte
 }
 
 // fault is a request that is turned down before it is placed.
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -45,6 +45,8 @@
 	last copyEnd
 	// doubt is set once a copy has ended with an unknown outcome.
 	doubt bool
+	// failure is an upstream's own failure, kept while another one is tried.
+	failure *wirepb.CallResponse
 }
 
 // place runs a request and returns what is known about it in the end.
@@ -120,6 +122,9 @@
 		if p.send(ctx, a.Last) || p.flying > 0 {
 			return nil
 		}
+		if p.failure != nil {
+			return p.failure
+		}
 		return p.giveUp(p.proved())
 	case retry.Hedge:
 		p.send(ctx, false)
@@ -127,6 +132,9 @@
 	case retry.Wait:
 		return nil
 	default:
+		if p.failure != nil {
+			return p.failure
+		}
 		return p.giveUp(a.Outcome)
 	}
 }
@@ -157,6 +165,13 @@
 		p.closed = append(p.closed, end.node)
 	}
 	p.doubt = p.doubt || o == retry.Unknown
+	if p.e.o.Again && o == retry.Ran && end.answer.GetStatus() >= http.StatusInternalServerError && p.q.mayRepeat() {
+		p.failure = end.answer
+		if a := p.next(retry.Unknown, retry.Broken, mono.Now()); a.Kind != retry.GiveUp {
+			return a
+		}
+		return retry.Action{Kind: retry.Deliver}
+	}
 	return p.next(o, retry.Reason(end.answer.GetReason()), mono.Now())
 }
 
@@ -252,7 +267,7 @@
 	if p.q.host != "" {
 		headers = append(headers, &wirepb.Header{Name: "Host", Values: []string{p.q.host}})
 	}
-	return &wirepb.CallRequest{
+	m := &wirepb.CallRequest{
 		Id:            id[:],
 		Start:         uint64(t.Start),
 		Service:       string(p.q.service),
@@ -269,7 +284,12 @@
 		Idempotent:    p.q.mayRepeat(),
 		Last:          last,
 		Key:           p.q.key,
+		Priority:      int32(p.q.priority),
+	}
+	if !p.q.objective.IsZero() {
+		m.ObjectiveNanos = int64(mono.Until(p.q.objective))
 	}
+	return m
 }
 
 // run sends one copy to its exit, which may be that of this node.
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -55,6 +55,11 @@
 	d.http.CloseIdleConnections()
 }
 
+// run is the Send of the upstreams' own interface.
+func (d *dispatcher) run(ctx context.Context, u Upstream, q *wirepb.CallRequest) *wirepb.CallResponse {
+	return d.send(ctx, u.Address, q)
+}
+
 // send runs one request on the upstream at address. The outcome is Refused
 // only if no byte of the request can have reached the upstream, or if the
 // upstream itself states that it shed the request.
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cicadahall/cicadahall/admit"
+	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
@@ -31,8 +32,29 @@
 	// heartbeatLimit is the age of an announcement after which the upstream
 	// counts as gone. Upstreams repeat it several times a second.
 	heartbeatLimit = 3 * time.Second
+	// fenceHold is how long a fence outlives its request. Messages carry the
+	// time left, so that a copy that the network holds back arrives with a
+	// later deadline; connections that are given up are reset, which drops what
+	// they still hold, within this time.
+	fenceHold = 30 * time.Second
 )
 
+// Send runs one request on an upstream. The outcome of its answer is Refused
+// only if the upstream has provably not run the request and won't.
+type Send func(ctx context.Context, u Upstream, q *wirepb.CallRequest) *wirepb.CallResponse
+
+// limiter is what an admit.Limiter and an admit.Gate have in common.
+type limiter interface {
+	Offer(t admit.Ticket, now time.Time) admit.Decision
+	Finish(id ident.Request, r admit.Result, now time.Time)
+	Cancel(id ident.Request, now time.Time) bool
+	Tick(now time.Time)
+	Drain(now time.Time)
+	Cold(now time.Time)
+	SetSlots(slots ident.Slots, start ident.Start, now time.Time)
+	Load() choose.Hint
+}
+
 // Options configure an Exit.
 type Options struct {
 	Start ident.Start
@@ -43,6 +65,15 @@
 	Queue int
 	// Connections bounds the idle connections to the upstream.
 	Connections int
+	// Heartbeat is the age of an announcement after which the upstream counts
+	// as gone; 0 means heartbeatLimit.
+	Heartbeat time.Duration
+	// Reports is set if the upstream reports its own load (see Report); its
+	// requests then pass an admit.Gate instead of an adaptive limit.
+	Reports bool
+	// Send runs one request on an upstream; nil means the upstreams' own
+	// interface of this project (docs/callers.md).
+	Send Send
 	// Admits tells whether the node's failure domain takes new work.
 	Admits func(now time.Time) bool
 	// Serves tells whether the node's version takes new work.
@@ -71,14 +102,16 @@
 type Exit struct {
 	o        Options
 	dispatch *dispatcher
+	send     Send
 
 	mu       sync.Mutex
-	limiter  *admit.Limiter
+	limiter  limiter
 	fences   *fence.Table[*wirepb.CallResponse]
 	keys     *fence.Keys[*wirepb.CallResponse]
 	jobs     map[ident.Request]*job
 	upstream Upstream
 	reported report
+	pace     ColdPace
 	// draining is set while nothing is admitted, closing once that is final.
 	draining bool
 	closing  bool
@@ -100,6 +133,13 @@
 		stop:     stop,
 		ended:    make(chan struct{}),
 	}
+	e.send = o.Send
+	if e.send == nil {
+		e.send = e.dispatch.run
+	}
+	if o.Heartbeat <= 0 {
+		e.o.Heartbeat = heartbeatLimit
+	}
 	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{Start: o.Start, Size: answerSize})
 	e.keys = fence.NewKeys(fence.KeyOptions[*wirepb.CallResponse]{Self: o.Node, Size: answerSize}, nil, mono.Now())
 	e.limiter = e.newLimiter()
@@ -138,7 +178,7 @@
 	e.limiter.Tick(now)
 	e.fences.Expire(now)
 	e.reportWarmth(now)
-	gone := e.upstream.Ready && now.Sub(e.upstream.heard) > heartbeatLimit
+	gone := e.upstream.Ready && now.Sub(e.upstream.heard) > e.o.Heartbeat
 	if gone {
 		e.withdraw("heartbeat")
 	}
@@ -192,7 +232,7 @@
 	now := mono.Now()
 	deadline := time.Unix(0, q.GetDeadlineNanos())
 	id := call.RequestID(q.GetId())
-	v := e.fences.Begin(id, ident.Start(q.GetStart()), deadline, now)
+	v := e.fences.Begin(id, ident.Start(q.GetStart()), deadline.Add(fenceHold), now)
 	if v.Kind != fence.Run {
 		return e.duplicate(id, q, v, refusal)
 	}
@@ -267,9 +307,9 @@
 }
 
 // run dispatches an admitted request and ends it.
-func (e *Exit) run(j *job, address string) {
+func (e *Exit) run(j *job, u Upstream) {
 	began := mono.Now()
-	a := e.dispatch.send(j.ctx, address, j.q)
+	a := e.send(j.ctx, u, j.q)
 	busy := time.Since(began)
 	a.BusyNanos = int64(busy)
 	e.finish(j, a, busy)
@@ -329,7 +369,8 @@
 	defer e.mu.Unlock()
 	id := call.RequestID(r.GetId())
 	q := &wirepb.CallRequest{Id: r.GetId()}
-	v := e.fences.Cancel(id, ident.Start(r.GetStart()), time.Unix(0, r.GetDeadlineNanos()), mono.Now())
+	deadline := time.Unix(0, r.GetDeadlineNanos()).Add(fenceHold)
+	v := e.fences.Cancel(id, ident.Start(r.GetStart()), deadline, mono.Now())
 	return e.duplicate(id, q, v, unknown)
 }
 
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -24,12 +24,18 @@
 	Failed bool
 	// Busy is how long the request took a slot.
 	Busy time.Duration
+	// Work is Busy at the upstream's usual speed; equal to Busy unless the
+	// upstream reports how slow its instance is.
+	Work time.Duration
 	// In and Out are the bodies' sizes in bytes.
 	In  int
 	Out int
 }
 
-func (e *Exit) newLimiter() *admit.Limiter {
+func (e *Exit) newLimiter() limiter {
+	if e.o.Reports {
+		return e.newGate()
+	}
 	return admit.New(admit.Options{
 		Slots:  e.upstream.Slots,
 		Queue:  e.o.Queue,
@@ -40,7 +46,17 @@
 
 // offer asks the limiter about a job that the fence has let through.
 func (e *Exit) offer(j *job, deadline, now time.Time) {
-	d := e.limiter.Offer(admit.Ticket{ID: j.id, Deadline: deadline, Last: j.q.GetLast()}, now)
+	t := admit.Ticket{
+		ID:       j.id,
+		Deadline: deadline,
+		Last:     j.q.GetLast(),
+		Route:    ident.Route(j.q.GetRoute()),
+		Priority: int(j.q.GetPriority()),
+	}
+	if o := j.q.GetObjectiveNanos(); o != 0 {
+		t.Objective = now.Add(time.Duration(o))
+	}
+	d := e.limiter.Offer(t, now)
 	switch d.Verdict {
 	case admit.Run:
 		e.begin(j)
@@ -53,7 +69,7 @@
 
 // begin dispatches a job; it is called with the lock held.
 func (e *Exit) begin(j *job) {
-	go e.run(j, e.upstream.Address)
+	go e.run(j, e.upstream)
 }
 
 // giveUp ends a job that has left the queue without having run.
@@ -155,6 +171,7 @@
 		Limit:        l.Limit,
 		ServiceNanos: int64(l.Service),
 		AtNanos:      l.At.UnixNano(),
+		Slow:         l.Slow,
 	}
 }
 
@@ -170,7 +187,19 @@
 		Reason:  a.GetReason(),
 		Failed:  a.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && a.GetStatus() >= http.StatusInternalServerError,
 		Busy:    busy,
+		Work:    e.usual(busy),
 		In:      len(q.GetBody()),
 		Out:     len(a.GetBody()),
 	})
 }
+
+// usual returns a work time at the upstream's usual speed.
+func (e *Exit) usual(busy time.Duration) time.Duration {
+	if slow := e.limiter.Load().Slow; slow > usualSpeed {
+		return busy * usualSpeed / time.Duration(slow)
+	}
+	return busy
+}
+
+// usualSpeed is the slowness of an upstream that isn't slow, in percent.
+const usualSpeed = 100
--- a/internal/exit/upstream.go
+++ b/internal/exit/upstream.go
@@ -13,6 +13,8 @@
 	Service ident.Service
 	Version ident.Version
 	Slots   ident.Slots
+	// Instance is the name that the upstream gives itself; may be empty.
+	Instance string
 	// Address is the host and port that requests are sent to.
 	Address string
 	// Start changes when the upstream restarts, which makes it cold.
--- /dev/null
+++ b/internal/fleet/orders.go
@@ -0,0 +1,295 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/exit"
+	"github.com/cicadahall/cicadahall/internal/mono"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+	"github.com/cicadahall/cicadahall/member"
+	"github.com/cicadahall/cicadahall/platform"
+	"github.com/cicadahall/cicadahall/route"
+	"github.com/cicadahall/cicadahall/store"
+)
+
+const (
+	// feedWait is how long one question to the feed may wait for a change.
+	feedWait = 10 * time.Second
+	// readLimit bounds one read; the store answers in 4 ms, and 100 times that
+	// while it is slow.
+	readLimit = 1500 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a read without an answer.
+	// Changes have to be in force within 2 s.
+	retryLeast = 150 * time.Millisecond
+	retryMost  = time.Second
+	// peerLimit bounds one question to another node.
+	peerLimit = 500 * time.Millisecond
+	// peerTries is the number of nodes asked for orders that gossip tells of.
+	peerTries = 4
+	// headDigest marks the heads of orders in gossip, which leaves out heads
+	// without a digest.
+	headDigest = "orders"
+)
+
+// orders knows what the operator has written to the store.
+type orders struct {
+	n    *Node
+	feed store.Feed
+	wait sync.WaitGroup
+
+	mu   sync.Mutex
+	ctx  context.Context
+	rows *rows
+	// domains are the evacuated failure domains.
+	domains map[ident.Domain]bool
+
+	current atomic.Pointer[route.Table]
+}
+
+func newOrders(n *Node) *orders {
+	return &orders{
+		n:       n,
+		feed:    n.store.Feed(platform.OrderTable),
+		ctx:     context.Background(),
+		rows:    newRows(),
+		domains: map[ident.Domain]bool{},
+	}
+}
+
+// table returns the configuration in force; nil before the first.
+func (o *orders) table() *route.Table { return o.current.Load() }
+
+func (o *orders) evacuated(d ident.Domain) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.domains[d]
+}
+
+// Run follows the operator's rows until ctx ends.
+func (o *orders) Run(ctx context.Context, ready func()) error {
+	o.mu.Lock()
+	o.ctx = ctx
+	o.mu.Unlock()
+	defer o.wait.Wait()
+	ready()
+	f := &follower{o: o}
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+	return ctx.Err()
+}
+
+// follower is the position in the feed.
+type follower struct {
+	o     *orders
+	after uint64
+	whole bool
+	pause time.Duration
+	down  time.Time
+}
+
+// step reads the whole table or what has changed, and pauses after a failure.
+func (f *follower) step(ctx context.Context) {
+	var c store.Changes
+	var r store.Result
+	if !f.whole {
+		limited, cancel := context.WithTimeout(ctx, readLimit)
+		c, r = f.o.feed.All(limited)
+		cancel()
+	} else {
+		c, r = f.o.feed.Next(ctx, f.after, feedWait)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if r.OK() {
+		f.succeeded(c)
+		return
+	}
+	f.failed(ctx, r)
+}
+
+func (f *follower) succeeded(c store.Changes) {
+	if !f.down.IsZero() {
+		f.o.n.log.Emit(event.StoreUp, event.F(event.Store, platform.OrderTable), event.F(event.Elapsed, time.Since(f.down)))
+		f.down = time.Time{}
+	}
+	f.pause = 0
+	f.whole = true
+	// A stale read must not move the position back: what it lacks would be
+	// delivered again, which is harmless, but a position ahead would lose changes.
+	f.after = c.Version
+	f.o.apply(c)
+}
+
+func (f *follower) failed(ctx context.Context, r store.Result) {
+	f.whole = false
+	if r.Compacted {
+		return
+	}
+	if f.down.IsZero() {
+		f.down = time.Now()
+		f.o.n.log.Emit(event.StoreDown, event.F(event.Store, platform.OrderTable), event.F(event.Error, r.Err))
+	}
+	f.pause = min(retryMost, max(retryLeast, 2*f.pause))
+	mono.Sleep(ctx, f.pause/2+time.Duration(rand.Int64N(int64(f.pause))))
+}
+
+// apply puts news in force.
+func (o *orders) apply(c store.Changes) {
+	o.mu.Lock()
+	news := o.rows.apply(c)
+	if len(news) > 0 {
+		domains := map[ident.Domain]bool{}
+		for k, row := range o.rows.byKey {
+			if kind, name := platform.KindOf(k); kind == platform.Evacuation && !row.Gone {
+				domains[ident.Domain(name)] = true
+			}
+		}
+		o.domains = domains
+	}
+	o.mu.Unlock()
+	for _, one := range news {
+		o.put(one)
+	}
+	if len(news) > 0 {
+		o.n.roster.refresh()
+	}
+}
+
+// put acts on one changed row.
+func (o *orders) put(c store.Change) {
+	kind, name := platform.KindOf(c.Key)
+	switch kind {
+	case platform.Configuration:
+		o.configure(c)
+	case platform.Rollout:
+		o.n.moves.ordered(ident.Service(name), c)
+	case platform.Evacuation:
+		code := event.DomainOut
+		if c.Gone {
+			code = event.DomainIn
+		}
+		o.n.log.Emit(code, event.F(event.Domain, name), event.F(event.Revision, c.Version))
+	case platform.Other:
+	}
+}
+
+// configure puts a configuration in force unless it is older than the present one.
+func (o *orders) configure(c store.Change) {
+	if c.Gone {
+		return
+	}
+	t, err := platform.DecodeTable(c.Value)
+	if err != nil {
+		o.n.log.Emit(event.ManifestRejected, event.F(event.Revision, c.Version), event.F(event.Error, err))
+		return
+	}
+	for {
+		old := o.current.Load()
+		if old != nil && t.Revision <= old.Revision {
+			return
+		}
+		if o.current.CompareAndSwap(old, t) {
+			break
+		}
+	}
+	o.pace()
+	o.n.log.Emit(event.ManifestAdopted, event.F(event.Revision, t.Revision), event.F(event.Count, t.Len()))
+}
+
+// pace tells the exit what its upstream bears while it is cold.
+func (o *orders) pace() {
+	t := o.table()
+	if t == nil {
+		return
+	}
+	s, ok := t.Services[o.n.exit.Upstream().Service]
+	if !ok {
+		return
+	}
+	c := o.n.settings.Cold
+	o.n.exit.SetPace(exit.ColdPace{
+		Rate:  s.ColdRate * (1 + coldShare*(c.Overage-1)),
+		Burst: max(1, coldShare*c.Slack),
+	})
+}
+
+// coldShare of the overage and of the slack is used: a request that is on its
+// way from the node to the upstream may be counted in the next second.
+const coldShare = 0.5
+
+// head returns the newest version that this node knows.
+func (o *orders) head() member.Head {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.rows.newest == 0 {
+		return member.Head{}
+	}
+	return member.Head{Revision: ident.Revision(o.rows.newest), Digest: headDigest}
+}
+
+// heard takes a head from gossip; newer orders are fetched from other nodes,
+// which works also where this node can't reach the store.
+func (o *orders) heard(h member.Head) {
+	o.mu.Lock()
+	ctx := o.ctx
+	behind := uint64(h.Revision) > o.rows.newest
+	o.mu.Unlock()
+	if !behind {
+		return
+	}
+	o.wait.Add(1)
+	go func() {
+		defer o.wait.Done()
+		o.fetch(ctx, uint64(h.Revision))
+	}()
+}
+
+// fetch asks other nodes for the orders of a revision.
+func (o *orders) fetch(ctx context.Context, revision uint64) {
+	for range peerTries {
+		o.mu.Lock()
+		have := o.rows.newest >= revision
+		o.mu.Unlock()
+		address, ok := o.n.roster.random("")
+		if have || !ok || ctx.Err() != nil {
+			return
+		}
+		limited, cancel := context.WithTimeout(ctx, peerLimit)
+		a, err := o.n.pool.Client(address).Body(limited, &wirepb.BodyRequest{Digest: strconv.FormatUint(revision, 10)})
+		cancel()
+		if err != nil {
+			mono.Sleep(ctx, retryLeast)
+			continue
+		}
+		c, err := decodeRows(a.GetBody())
+		if err != nil {
+			o.n.log.Emit(event.ManifestRejected, event.F(event.Peer, address), event.F(event.Error, err))
+			continue
+		}
+		o.apply(c)
+	}
+}
+
+// held returns all rows if they reach a revision.
+func (o *orders) held(revision string) ([]byte, bool) {
+	want, err := strconv.ParseUint(revision, 10, 64)
+	if err != nil {
+		return nil, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.rows.newest < want || o.rows.newest == 0 {
+		return nil, false
+	}
+	body, err := o.rows.encode()
+	return body, err == nil
+}
--- /dev/null
+++ b/internal/fleet/roster.go
@@ -0,0 +1,379 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadahall/cicadahall/choose"
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/entry"
+	"github.com/cicadahall/cicadahall/internal/gossip"
+	"github.com/cicadahall/cicadahall/internal/mono"
+	"github.com/cicadahall/cicadahall/internal/wirepb"
+	"github.com/cicadahall/cicadahall/member"
+	"github.com/cicadahall/cicadahall/platform"
+	"github.com/cicadahall/cicadahall/store"
+)
+
+const (
+	// probePeriod is the time between two probes; a member that has died is
+	// suspected within about two of them.
+	probePeriod = 500 * time.Millisecond
+	// probeTimeout is above the round trip within a region, also while a node
+	// of a third of a core is busy.
+	probeTimeout = 200 * time.Millisecond
+	// slowPeriod is the time between two probes of lost members. Members that
+	// restart while the store is down are found by it within seconds.
+	slowPeriod = 300 * time.Millisecond
+	// syncPeriod is the mean time between two anti-entropy exchanges.
+	syncPeriod = 5 * time.Second
+	// publishInterval bounds how often a changed member list is handed on.
+	publishInterval = 20 * time.Millisecond
+	// joinPause is the mean pause between two attempts to write the own row.
+	joinPause = time.Second
+	// joinAgain is when the rows are read a second time, for nodes that
+	// started at the same moment.
+	joinAgain = 2 * time.Second
+	// joinRefresh is the mean time between two readings after that.
+	joinRefresh = 10 * time.Minute
+	// joinPrefix precedes the node's name in the key of its row.
+	joinPrefix = "member/"
+)
+
+// roster knows the members of the system.
+type roster struct {
+	n     *Node
+	table store.Table
+	shell atomic.Pointer[gossip.Shell]
+	stale chan struct{}
+
+	mu      sync.Mutex
+	records map[ident.Node]member.Record
+}
+
+func newRoster(n *Node) *roster {
+	return &roster{
+		n:       n,
+		table:   n.store.Table(platform.OwnTable),
+		stale:   make(chan struct{}, 1),
+		records: map[ident.Node]member.Record{},
+	}
+}
+
+// Run takes part in the membership protocol until ctx ends.
+func (r *roster) Run(ctx context.Context, ready func()) error {
+	shell, err := gossip.New(gossip.Options{
+		Listen:  r.n.settings.Listen.Peers,
+		Metrics: r.n.metrics,
+		Call: func(ctx context.Context, to member.Record, q *wirepb.SyncRequest) (*wirepb.SyncResponse, error) {
+			return r.n.pool.Client(to.RPC).Sync(ctx, q)
+		},
+		Member: member.Options{
+			Self:    r.own(),
+			Began:   time.Now(),
+			Period:  probePeriod,
+			Timeout: probeTimeout,
+			Slow:    slowPeriod,
+			Sync:    syncPeriod,
+			Rand:    rand.IntN,
+			Notify:  r.notify,
+			Heard:   r.n.orders.heard,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	r.shell.Store(shell)
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		r.join(ctx)
+	}()
+	r.refresh()
+	ready()
+	r.run(ctx)
+	<-joined
+	return errors.Join(ctx.Err(), shell.Close())
+}
+
+func (r *roster) with(f func(m *member.Machine, now time.Time)) {
+	if s := r.shell.Load(); s != nil {
+		s.With(f)
+	}
+}
+
+// own returns the record of this node and its upstream.
+func (r *roster) own() member.Record {
+	u := r.n.exit.Upstream()
+	s := r.n.settings
+	return member.Record{
+		Node:    s.Node,
+		Start:   r.n.start,
+		Domain:  s.Domain,
+		Region:  s.Region,
+		Service: u.Service,
+		Version: u.Version,
+		Slots:   u.Slots,
+		RPC:     s.Listen.Peers,
+		UDP:     s.Listen.Peers,
+		Ready:   u.Ready && !u.Draining,
+	}
+}
+
+// refresh asks for an update soon. It never blocks.
+func (r *roster) refresh() {
+	select {
+	case r.stale <- struct{}{}:
+	default:
+	}
+}
+
+func (r *roster) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.stale:
+		}
+		r.update()
+		r.n.entry.Update(r.targets())
+		r.n.pool.Forget(r.addresses())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(publishInterval):
+		}
+	}
+}
+
+func (r *roster) update() {
+	own := r.own()
+	head := r.n.orders.head()
+	r.with(func(m *member.Machine, now time.Time) {
+		m.Update(own, now)
+		if head.Revision > 0 {
+			m.SetHead(head)
+		}
+		r.notify(m.Self())
+	})
+}
+
+// notify is called by the machine, under the shell's lock.
+func (r *roster) notify(c member.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, seen := r.records[c.Node]
+	r.records[c.Node] = c
+	if c.Node != r.n.settings.Node {
+		r.report(old, c, seen)
+	}
+	old.Revision = c.Revision
+	if old != c {
+		r.refresh()
+	}
+}
+
+func (r *roster) report(old, c member.Record, seen bool) {
+	codes := map[member.State]event.Code{
+		member.Alive:       event.MemberAlive,
+		member.Suspect:     event.MemberSuspect,
+		member.Leaving:     event.MemberLeaving,
+		member.Unreachable: event.MemberUnreachable,
+		member.Left:        event.MemberLeft,
+	}
+	code, known := codes[c.State]
+	if !seen || old.Start != c.Start || old.Service != c.Service || old.Ready != c.Ready {
+		code, known = event.MemberJoined, true
+	} else if old.State == c.State {
+		return
+	}
+	if known {
+		r.n.log.Emit(code,
+			event.F(event.Peer, c.Node),
+			event.F(event.Domain, c.Domain),
+			event.F(event.Service, c.Service),
+			event.F(event.Version, c.Version),
+			event.F(event.Ready, c.Ready))
+	}
+}
+
+// lost reports whether a member isn't expected to answer.
+func lost(c member.Record) bool {
+	return c.State == member.Unreachable || c.State == member.Left
+}
+
+func stateOf(c member.Record) choose.State {
+	switch {
+	case c.State == member.Leaving || !c.Ready:
+		return choose.Leaving
+	case c.State == member.Suspect:
+		return choose.Suspect
+	default:
+		return choose.Alive
+	}
+}
+
+// targets lists the members that have an upstream and may be reached.
+func (r *roster) targets() []entry.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]entry.Target, 0, len(r.records))
+	for _, c := range r.records {
+		if c.Service == "" || lost(c) {
+			continue
+		}
+		out = append(out, entry.Target{
+			Member: choose.Member{
+				Node:    c.Node,
+				Service: c.Service,
+				Version: c.Version,
+				Domain:  c.Domain,
+				Region:  c.Region,
+				Slots:   c.Slots,
+				State:   stateOf(c),
+			},
+			Address: c.RPC,
+			Start:   c.Start,
+		})
+	}
+	return out
+}
+
+// addresses lists the members that connections are kept to.
+func (r *roster) addresses() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]bool, len(r.records))
+	for _, c := range r.records {
+		if !lost(c) {
+			out[c.RPC] = true
+		}
+	}
+	return out
+}
+
+// versions counts the members of a service by version, with an upstream that
+// takes requests.
+func (r *roster) versions(s ident.Service) map[ident.Version]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[ident.Version]int{}
+	for _, c := range r.records {
+		if c.Service == s && !lost(c) && c.Ready && c.State != member.Leaving {
+			out[c.Version]++
+		}
+	}
+	return out
+}
+
+// alive lists the members that are expected to answer, this node included.
+func (r *roster) alive() []ident.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []ident.Node
+	for _, c := range r.records {
+		if !lost(c) && c.State != member.Leaving {
+			out = append(out, c.Node)
+		}
+	}
+	return out
+}
+
+// random returns the address of another member of a service, or of any.
+func (r *roster) random(s ident.Service) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var others []string
+	for _, c := range r.records {
+		if c.Node != r.n.settings.Node && !lost(c) && (s == "" || c.Service == s) {
+			others = append(others, c.RPC)
+		}
+	}
+	if len(others) == 0 {
+		return "", false
+	}
+	return others[rand.IntN(len(others))], true
+}
+
+// leave announces that this node takes no new work.
+func (r *roster) leave() {
+	r.with(func(m *member.Machine, now time.Time) {
+		m.Leave(now)
+		r.notify(m.Self())
+	})
+}
+
+// joinRow is how nodes find each other through the store.
+type joinRow struct {
+	UDP   string `json:"udp"`
+	Start uint64 `json:"start,string"`
+}
+
+// join finds members through the rows of the store. Writing comes first: of
+// two nodes that join at the same time, the later reader finds the other one.
+func (r *roster) join(ctx context.Context) {
+	mono.Sleep(ctx, time.Duration(rand.Int64N(int64(joinSpread))))
+	for ctx.Err() == nil && !r.writeRow(ctx) {
+		r.scan(ctx)
+		mono.Sleep(ctx, jitter(joinPause))
+	}
+	r.scan(ctx)
+	mono.Sleep(ctx, jitter(joinAgain))
+	for ctx.Err() == nil {
+		pause := joinRefresh
+		if !r.scan(ctx) {
+			pause = joinPause
+		}
+		mono.Sleep(ctx, jitter(pause))
+	}
+}
+
+// joinSpread is the time over which nodes that start together spread their rows.
+const joinSpread = 200 * time.Millisecond
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func (r *roster) scan(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	found, res := r.table.Scan(limited, joinPrefix)
+	if !res.OK() {
+		return false
+	}
+	var seeds []string
+	for _, row := range found {
+		var j joinRow
+		if err := json.Unmarshal(row.Value, &j); err != nil {
+			r.n.log.Emit(event.RowRejected, event.F(event.Key, row.Key), event.F(event.Error, err))
+			continue
+		}
+		if j.UDP != r.n.settings.Listen.Peers {
+			seeds = append(seeds, j.UDP)
+		}
+	}
+	r.with(func(m *member.Machine, _ time.Time) { m.SetSeeds(seeds) })
+	return true
+}
+
+func (r *roster) writeRow(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	key := joinPrefix + string(r.n.settings.Node)
+	value, err := json.Marshal(joinRow{UDP: r.n.settings.Listen.Peers, Start: uint64(r.n.start)})
+	if err != nil {
+		return false
+	}
+	old, res := r.table.Get(limited, key)
+	if !res.OK() || string(old.Value) == string(value) {
+		return res.OK()
+	}
+	return r.table.Commit(limited, []store.Write{{Key: key, Value: value, Expect: old.Version}}).OK()
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/samber/oops"
 
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -69,13 +70,33 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleLimit,
 		DisableCompression:  true,
 	}
 }
 
+// dial opens a connection that is reset when it is closed: what a connection
+// that was given up still holds must not arrive later.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialLimit}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	return c, nil
+}
+
+// left is the time until a deadline on the clock of this process. Deadlines
+// don't cross the network, because the clocks of instances differ and step.
+func left(deadline int64) int64 {
+	return int64(mono.Until(time.Unix(0, deadline)))
+}
+
 // Client returns the client for control messages over the pooled connections
 // to a peer.
 func (p *Pool) Client(address string) wirepb.PeerClient {
@@ -110,6 +131,7 @@
 			return nil
 		},
 	}
+	q.LeftNanos = left(q.GetDeadlineNanos())
 	r, err := p.link(address).plain.Call(httptrace.WithClientTrace(ctx, t), q)
 	if err != nil {
 		return nil, oops.With("step", "call", "peer", address).Wrap(err)
@@ -121,6 +143,7 @@
 func (p *Pool) Resolve(ctx context.Context, address string, q *wirepb.ResolveRequest) (*wirepb.CallResponse, error) {
 	t := newTransport()
 	t.DisableKeepAlives = true
+	q.LeftNanos = left(q.GetDeadlineNanos())
 	r, err := p.client(t, address).Resolve(ctx, q)
 	if err != nil {
 		return nil, oops.With("step", "resolve", "peer", address).Wrap(err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -21,7 +23,7 @@
 // that takes long with an interim 102 response, by which the entry node tells
 // a slow request from a silent connection.
 func NewServer(h wirepb.PeerHandler, o Options) *http.Server {
-	path, handler := wirepb.NewPeerHandler(h,
+	path, handler := wirepb.NewPeerHandler(&local{PeerHandler: h},
 		connect.WithReadMaxBytes(int(o.Body)+messageSlack),
 		connect.WithConditionalHandlerOptions(plain))
 	m := http.NewServeMux()
@@ -43,3 +45,20 @@
 	}
 	return []connect.HandlerOption{connect.WithCompression("gzip", nil, nil)}
 }
+
+// local puts the deadlines of messages on the clock of this process.
+type local struct {
+	wirepb.PeerHandler
+}
+
+// Call passes a request on.
+func (l *local) Call(ctx context.Context, q *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	q.DeadlineNanos = mono.Now().Add(time.Duration(q.GetLeftNanos())).UnixNano()
+	return l.PeerHandler.Call(ctx, q)
+}
+
+// Resolve passes a question on.
+func (l *local) Resolve(ctx context.Context, q *wirepb.ResolveRequest) (*wirepb.CallResponse, error) {
+	q.DeadlineNanos = mono.Now().Add(time.Duration(q.GetLeftNanos())).UnixNano()
+	return l.PeerHandler.Resolve(ctx, q)
+}
--- /dev/null
+++ b/store/feed.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// Change is one row of a feed or of a snapshot.
+type Change struct {
+	Row
+	// Gone is set if the row was removed.
+	Gone bool
+}
+
+// Changes is what a feed has delivered.
+type Changes struct {
+	Rows []Change
+	// Version is the position in the store's history up to which Rows is complete.
+	Version uint64
+	// Whole is set if Rows lists every row that exists, so that a row that is
+	// missing from it was removed.
+	Whole bool
+}
+
+// Feed follows the rows of one table. Callers set a deadline on every context.
+type Feed struct {
+	// All reads every row of the table.
+	All func(ctx context.Context) (Changes, Result)
+	// Next waits up to wait for rows that changed after a version. A Refused
+	// result with Compacted set means that the history has been dropped and
+	// that the table has to be read again.
+	Next func(ctx context.Context, after uint64, wait time.Duration) (Changes, Result)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -36,6 +36,8 @@
 	// Conflict is set on a Refused commit when a row's version differed from
 	// the expected one, as opposed to a service that is out of reach.
 	Conflict bool
+	// Compacted is set on a Refused read of a feed whose history is gone.
+	Compacted bool
 }
 
 // OK reports whether the call took effect.
@@ -51,7 +53,7 @@
 }
 
 // Write sets one row if its version still is Expect. Expect 0 requires that
-// the row doesn't exist. A successful write raises the version by 1.
+// the row doesn't exist. A successful write raises the version.
 type Write struct {
 	Key    string
 	Value  []byte
