Drain in two steps, count sheds as repeats, push new versions within the bound

It now serves all that comes for 3 s, then closes the callers' port and ends when nothing is in progress.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,9 @@
 	// Again is set if a failure that an upstream reports of a request that may
 	// run twice is worth another upstream, within Budget.
 	Again bool
+	// AnyVersion is set if a request that the exit of a version doesn't take
+	// may run on any version of the service.
+	AnyVersion bool
 }
 
 // Target is a member and how to reach it.
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -165,6 +165,9 @@
 		p.closed = append(p.closed, end.node)
 	}
 	p.doubt = p.doubt || o == retry.Unknown
+	if o == retry.NotRun && end.answer.GetReason() == wirepb.Reason_REASON_SERVICE && p.e.o.AnyVersion {
+		p.version = ""
+	}
 	if p.e.o.Again && o == retry.Ran && end.answer.GetStatus() >= http.StatusInternalServerError && p.q.mayRepeat() {
 		p.failure = end.answer
 		if a := p.next(retry.Unknown, retry.Broken, mono.Now()); a.Kind != retry.GiveUp {
@@ -350,6 +353,8 @@
 		e.chooser.Abandoned(end.node)
 	case a.GetHint() == nil:
 		e.chooser.Failed(end.node, now)
+	case a.GetReason() == wirepb.Reason_REASON_SHED:
+		e.chooser.Failed(end.node, now)
 	case a.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED:
 		e.chooser.Refused(end.node, hint(a.GetHint()), now)
 	case a.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && a.GetStatus() < http.StatusInternalServerError:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"github.com/cicadahall/cicadahall/internal/admin"
 	"github.com/cicadahall/cicadahall/internal/entry"
 	"github.com/cicadahall/cicadahall/internal/exit"
+	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/spec"
 	"github.com/cicadahall/cicadahall/internal/super"
@@ -140,7 +141,10 @@
 		Weight:   n.weight,
 		Cohort:   n.moves.cohort,
 		Again:    true,
+		// The exits of a new version take a bounded number of requests.
+		AnyVersion: true,
 		Budget: retry.BudgetOptions{
+			Sheds: true,
 			Ratio: budgetShare * b.Ratio,
 			Floor: budgetShare * b.Slack / b.Window.Seconds() / expectedNodes,
 			Burst: 1 + budgetShare*b.Slack/expectedNodes,
@@ -207,34 +211,30 @@
 }
 
 const (
-	// drainLeast is how long a stopping node serves at least: the platform
-	// asks once a second and stops sending callers after two misses.
-	drainLeast = 3200 * time.Millisecond
-	// drainQuiet is how long no request may have been in progress before the
-	// node stops.
-	drainQuiet = 300 * time.Millisecond
+	// drainNotice is how long a stopping node serves all that comes: the
+	// platform asks once a second and stops sending callers after two misses.
+	drainNotice = 3 * time.Second
 	// drainMargin is left before the platform kills the process.
 	drainMargin = 300 * time.Millisecond
 	// drainTick is how often a stopping node looks whether it may stop.
-	drainTick = 50 * time.Millisecond
+	drainTick = 20 * time.Millisecond
 )
 
-// close drains the node: callers are told to reconnect and stop coming, what
-// still comes is served, then the node stops.
+// close drains the node. For a time all that comes is served and answered with
+// "Connection: close"; then nothing new is taken, and the node ends as soon as
+// no request is in progress. A request that came too late would be cut.
 func (n *Node) close(s *super.Supervisor) error {
 	began := time.Now()
 	n.log.Emit(event.NodeDraining, event.F(event.Reason, "signal"), event.F(event.Count, n.front.open()))
 	n.leaving.Store(true)
 	n.roster.leave()
-	quiet := began
-	for now := began; now.Sub(began) < n.settings.Grace-drainMargin; now = time.Now() {
-		if n.front.open() > 0 || n.exit.Running() > 0 {
-			quiet = now
-		}
-		if now.Sub(began) >= drainLeast && now.Sub(quiet) >= drainQuiet {
-			break
-		}
-		time.Sleep(drainTick)
+	limit := n.settings.Grace - drainMargin
+	time.Sleep(min(drainNotice, limit/2))
+	ctx, cancel := context.WithTimeout(context.Background(), limit-time.Since(began))
+	defer cancel()
+	n.shut(ctx)
+	for ctx.Err() == nil && (n.front.open() > 0 || n.exit.Running() > 0) {
+		mono.Sleep(ctx, drainTick)
 	}
 	cut := n.front.open()
 	err := s.Close()
@@ -247,3 +247,13 @@
 	}
 	return err
 }
+
+// shut closes the callers' port and the exit for new requests.
+func (n *Node) shut(ctx context.Context) {
+	for _, p := range n.ports {
+		if p.name == callersPort {
+			go p.drain(ctx)
+		}
+	}
+	n.exit.Drain(ctx)
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -196,6 +196,7 @@
 func (v *moves) tick(ctx context.Context, s ident.Service, r *run) {
 	turn := v.turn(s)
 	now := time.Now()
+	defer v.alarm(ctx, r)()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if r.brief.Fault() != "" && !r.fault {
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -31,6 +32,18 @@
 	make    func() *http.Server
 	// first is the listener that was opened with the node.
 	first net.Listener
+	// server is the one that serves now.
+	server atomic.Pointer[http.Server]
+}
+
+// callersPort is the name of the listener for callers.
+const callersPort = "callers"
+
+// drain takes no new connection, closes idle ones and lets requests finish.
+func (p *port) drain(ctx context.Context) {
+	if s := p.server.Load(); s != nil {
+		_ = s.Shutdown(ctx) // what doesn't end in time is counted by the caller
+	}
 }
 
 func (n *Node) open() error {
@@ -44,7 +57,7 @@
 		{"admin", l.Admin, true, func() *http.Server { return server(n.admin()) }},
 		{"beats", l.Beats, false, func() *http.Server { return server(platform.BeatHandler(n.upstream.heard, n.upstream.left)) }},
 		{"ready", l.Ready, false, func() *http.Server { return server(platform.ReadyHandler(n.ready)) }},
-		{"callers", l.Callers, false, func() *http.Server { return server(n.front) }},
+		{callersPort, l.Callers, false, func() *http.Server { return server(n.front) }},
 	}
 	for _, p := range plan {
 		if p.address == "" && p.optional {
@@ -88,11 +101,16 @@
 		}
 	}
 	s := p.make()
+	p.server.Store(s)
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(listener) }()
 	ready()
 	select {
 	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		return oops.With("step", "serve", "peer", p.address).Wrap(err)
 	case <-ctx.Done():
 	}
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -272,6 +272,19 @@
 	return out
 }
 
+// exits lists the addresses of the other members with a version of a service.
+func (r *roster) exits(s ident.Service, v ident.Version) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, c := range r.records {
+		if c.Node != r.n.settings.Node && c.Service == s && c.Version == v && !lost(c) {
+			out = append(out, c.RPC)
+		}
+	}
+	return out
+}
+
 // alive lists the members that are expected to answer, this node included.
 func (r *roster) alive() []ident.Node {
 	r.mu.Lock()
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -19,10 +19,34 @@
 	if v.n.exit.Upstream().Service != s {
 		to = ""
 	}
-	address, ok := v.n.roster.random(to)
-	if !ok {
-		return
+	if address, ok := v.n.roster.random(to); ok {
+		v.trade(ctx, r, address)
 	}
+}
+
+// alarm returns a function that tells all exits of the new version at once if
+// a fault has become known since.
+func (v *moves) alarm(ctx context.Context, r *run) func() {
+	v.mu.Lock()
+	known := r.fault
+	v.mu.Unlock()
+	return func() {
+		// The caller holds the lock again.
+		if known || !r.fault {
+			return
+		}
+		for _, address := range v.n.roster.exits(r.order.Service, r.order.To) {
+			v.wait.Add(1)
+			go func() {
+				defer v.wait.Done()
+				v.trade(ctx, r, address)
+			}()
+		}
+	}
+}
+
+// trade exchanges what is known of a move with one node.
+func (v *moves) trade(ctx context.Context, r *run, address string) {
 	q := &wirepb.ShareRequest{Source: string(v.n.settings.Node)}
 	v.mu.Lock()
 	rows, state := v.evidence(r)
--- a/move/brief.go
+++ b/move/brief.go
@@ -56,15 +56,18 @@
 type tally map[ident.Route]Pair
 
 const (
-	// trialShare of the length is the time in which the new version gets only
-	// the bounded number of requests.
+	// trialShare of the length is the time in which the new version gets few
+	// requests, and pushShare the end of the time after it in which it gets all
+	// requests until the bound is nearly reached: some faults show under load only.
 	trialShare = 0.5
+	pushShare  = 0.62
 	// doneShare of the length is when a version without a fault is done; the
 	// rest of the time is for writing the outcome while the store is slow.
 	doneShare = 0.75
-	// trialCut keeps the trial below the bound, since requests that are on
-	// their way when the fault shows count too.
-	trialCut = 0.5
+	// trialCut and pushCut are the parts of the bound that may be used in these
+	// times. Requests that are on their way when the fault shows count, too.
+	trialCut = 0.35
+	pushCut  = 0.8
 	// leastBad answers and badRate of the answers show a fault, if the old
 	// version has less than a third of that rate: a faulty version fails
 	// about half of the requests that its fault concerns.
@@ -244,7 +247,7 @@
 // Trial reports whether the move is in the time in which the new version gets
 // a bounded number of requests.
 func (b *Brief) Trial(now time.Time) bool {
-	return b.outcome == Open && b.fault == "" && b.Age(now) < b.part(trialShare)
+	return b.outcome == Open && b.fault == "" && b.Age(now) < b.part(pushShare)
 }
 
 func (b *Brief) part(share float64) time.Duration {
@@ -263,17 +266,27 @@
 		return true
 	}
 	_, all := b.total()
-	bound := trialCut * (b.o.Slack + b.o.Share*float64(all.Old.Sent+all.New.Sent))
+	bound := b.o.Slack + b.o.Share*float64(all.Old.Sent+all.New.Sent)
 	own := 0
 	for _, p := range b.rows[owner{b.o.Node, b.o.Start}] {
 		own += p.New.Sent
 	}
-	// The bound is spread over the time of the trial, so that late faults meet
-	// requests, too.
-	spread := min(1, 0.25+float64(b.Age(now))/float64(b.part(trialShare)))
-	return float64(own) < spread*bound/float64(max(1, exits))
+	return float64(own) < b.cut(now)*bound/float64(max(1, exits))
 }
 
+// cut is the part of the bound that may be used by now. In the trial it grows
+// with time, so that late faults meet requests, too.
+func (b *Brief) cut(now time.Time) float64 {
+	age := float64(b.Age(now)) / float64(b.part(trialShare))
+	if age >= 1 {
+		return pushCut
+	}
+	return trialCut * min(1, trialFirst+age)
+}
+
+// trialFirst is the part of the trial's requests that may be used at once.
+const trialFirst = 0.25
+
 // Share returns the share of requests that entries send to the new version.
 func (b *Brief) Share(now time.Time) float64 {
 	switch {
@@ -281,7 +294,7 @@
 		return 1
 	case b.outcome == Reverted || b.fault != "":
 		return 0
-	case b.Trial(now):
+	case b.Age(now) < b.part(trialShare):
 		return b.o.Share
 	default:
 		return 1
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -19,12 +19,16 @@
 	Floor float64
 	// Burst bounds the extra runs that can be saved up.
 	Burst float64
+	// Sheds is set if a try after an upstream's own refusal counts as an extra
+	// run: the request has reached the upstream, and upstreams that shed much
+	// would get a flood of tries.
+	Sheds bool
 }
 
 // Budget limits the extra runs of one entry node: retries after an unknown
 // outcome and hedges. In any interval it allows at most Burst, plus Ratio for
 // each first attempt, plus Floor for each second. Retries after a refusal as
-// not run are free, because they cost the upstreams nothing.
+// not run are free, because they cost the upstreams nothing; see also Sheds.
 type Budget struct {
 	options BudgetOptions
 	tokens  float64
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -209,6 +209,9 @@
 	if r == Depth || r == Size || p.refusals >= MostTries || !now.Before(p.Deadline) {
 		return p.end(now)
 	}
+	if r == Shed && p.budget.options.Sheds && !p.budget.Allow(now) {
+		return p.end(now)
+	}
 	p.flying++
 	a := Action{Kind: Elsewhere, Last: p.refusals >= DefaultTries}
 	if p.refusals >= PromptTries {
