Ask other nodes until the orders that gossip tells of are known

A node that restarted while it couldn't reach the store heard of newer orders once, before it knew any member to ask, and never asked again. Tests of the whole path with stand-ins for the platform; TestOrdersReachACutNode failed before this change.

--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -31,8 +31,6 @@
 	retryMost  = time.Second
 	// peerLimit bounds one question to another node.
 	peerLimit = 500 * time.Millisecond
-	// peerTries is the number of nodes asked for orders that gossip tells of.
-	peerTries = 4
 	// headDigest marks the heads of orders in gossip, which leaves out heads
 	// without a digest.
 	headDigest = "orders"
@@ -49,6 +47,10 @@
 	rows *rows
 	// domains are the evacuated failure domains.
 	domains map[ident.Domain]bool
+	// wanted is the newest version that gossip has told of, and fetching is set
+	// while other nodes are asked for it.
+	wanted   uint64
+	fetching bool
 
 	current atomic.Pointer[route.Table]
 }
@@ -240,43 +242,56 @@
 // which works also where this node can't reach the store.
 func (o *orders) heard(h member.Head) {
 	o.mu.Lock()
-	ctx := o.ctx
-	behind := uint64(h.Revision) > o.rows.newest
-	o.mu.Unlock()
-	if !behind {
+	defer o.mu.Unlock()
+	o.wanted = max(o.wanted, uint64(h.Revision))
+	if o.fetching || o.rows.newest >= o.wanted {
 		return
 	}
+	o.fetching = true
+	ctx := o.ctx
 	o.wait.Add(1)
 	go func() {
 		defer o.wait.Done()
-		o.fetch(ctx, uint64(h.Revision))
+		for o.behind(ctx) {
+			o.fetch(ctx)
+		}
 	}()
 }
 
-// fetch asks other nodes for the orders of a revision.
-func (o *orders) fetch(ctx context.Context, revision uint64) {
-	for range peerTries {
-		o.mu.Lock()
-		have := o.rows.newest >= revision
-		o.mu.Unlock()
-		address, ok := o.n.roster.random("")
-		if have || !ok || ctx.Err() != nil {
-			return
-		}
-		limited, cancel := context.WithTimeout(ctx, peerLimit)
-		a, err := o.n.pool.Client(address).Body(limited, &wirepb.BodyRequest{Digest: strconv.FormatUint(revision, 10)})
-		cancel()
-		if err != nil {
-			mono.Sleep(ctx, retryLeast)
-			continue
-		}
-		c, err := decodeRows(a.GetBody())
-		if err != nil {
-			o.n.log.Emit(event.ManifestRejected, event.F(event.Peer, address), event.F(event.Error, err))
-			continue
-		}
-		o.apply(c)
+// behind reports whether gossip has told of newer orders than this node has.
+// When it returns false, the fetching has ended.
+func (o *orders) behind(ctx context.Context) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fetching = ctx.Err() == nil && o.rows.newest < o.wanted
+	return o.fetching
+}
+
+// fetch asks one other node for its orders, and pauses if it has none to ask
+// or if that one doesn't have them either.
+func (o *orders) fetch(ctx context.Context) {
+	o.mu.Lock()
+	revision := o.wanted
+	o.mu.Unlock()
+	address, ok := o.n.roster.random("")
+	if !ok {
+		mono.Sleep(ctx, retryLeast)
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, peerLimit)
+	defer cancel()
+	a, err := o.n.pool.Client(address).Body(limited, &wirepb.BodyRequest{Digest: strconv.FormatUint(revision, 10)})
+	if err != nil {
+		mono.Sleep(ctx, jitter(retryLeast))
+		return
+	}
+	c, err := decodeRows(a.GetBody())
+	if err != nil {
+		o.n.log.Emit(event.ManifestRejected, event.F(event.Peer, address), event.F(event.Error, err))
+		mono.Sleep(ctx, retryMost)
+		return
 	}
+	o.apply(c)
 }
 
 // held returns all rows if they reach a revision.
