--- a/admit/gate.go
+++ b/admit/gate.go
@@ -132,23 +132,25 @@
 	}
 }
 
-// Offer decides about a ticket. A ticket that may still be tried elsewhere is
-// refused while the upstream is slow, unless it meets its objective here all
-// the same.
+// Offer decides about a ticket. A ticket that can't be expected to end by its
+// deadline is refused, since it would take a slot for nothing. One that may
+// still be tried elsewhere is refused while the upstream is slow, unless it
+// meets its objective here all the same.
 func (g *Gate) Offer(t Ticket, now time.Time) Decision {
 	g.now = now
-	work := g.Work(t.Route)
+	expected := g.expect(t, now)
 	left := t.Deadline.Sub(now)
+	room := g.queue.len() == 0 && len(g.running) < g.slots
 	switch {
 	case g.draining:
 		return Decision{Reason: Draining}
-	case left <= work/2:
-		return Decision{Reason: Late}
 	case g.slots == 0:
-		return Decision{Reason: Full, RetryAfter: work}
-	case g.queue.len() == 0 && len(g.running) < g.slots && !t.Last && g.slow(now) >= SlowPercent && g.misses(t, now):
-		return Decision{Reason: Slow, RetryAfter: work}
-	case g.queue.len() == 0 && len(g.running) < g.slots && g.cold.take(now):
+		return Decision{Reason: Full, RetryAfter: expected}
+	case g.slow(now) >= SlowPercent && !t.Last && (left < expected || g.misses(t, now, expected)):
+		return Decision{Reason: Slow, RetryAfter: expected}
+	case left < expected:
+		return Decision{Reason: Late}
+	case room && g.cold.take(now):
 		g.begin(t, now)
 		return Decision{Verdict: Run}
 	}
@@ -156,20 +158,30 @@
 	switch {
 	case !t.Last || g.queue.len() >= g.options.Queue:
 		return Decision{Reason: Full, RetryAfter: wait}
-	case left <= wait+work:
+	case left < wait+expected:
 		return Decision{Reason: Late, RetryAfter: wait}
+	case g.misses(t, now, wait+expected) && g.queue.len() >= g.slots/lateShare:
+		return Decision{Reason: Full, RetryAfter: wait}
 	}
 	g.queue.push(t)
 	g.fill(now)
 	return Decision{Verdict: Queue}
 }
 
-// misses reports whether work at the present slowness ends after the objective.
-func (g *Gate) misses(t Ticket, now time.Time) bool {
-	if t.Objective.IsZero() {
-		return true
-	}
-	return now.Add(g.Work(t.Route) * time.Duration(g.slow(now)) / normal).After(t.Objective)
+// lateShare of the slots may wait although they miss their objective: their
+// answers have little worth left, and those behind them would miss theirs, too.
+const lateShare = 2
+
+// misses reports whether an end in some time comes after the objective.
+func (g *Gate) misses(t Ticket, now time.Time, in time.Duration) bool {
+	return t.Objective.IsZero() || now.Add(in).After(t.Objective)
+}
+
+// expect returns how long a ticket is expected to run if it starts now. On the
+// users' platform the slowness at the start of a request holds for all of its
+// work: counting on its end half a second later lost 0.1 of the worth of a quiet day.
+func (g *Gate) expect(t Ticket, now time.Time) time.Duration {
+	return g.Work(t.Route) * time.Duration(g.slow(now)) / normal
 }
 
 // normal is the usual work time, in percent.
@@ -219,9 +231,9 @@
 }
 
 // learn averages the work time of requests, corrected by the slowness that the
-// upstream reported while they ran.
+// upstream reported when they started.
 func (g *Gate) learn(s started, now time.Time) {
-	took := now.Sub(s.at) * normal / time.Duration(max(normal, (s.slow+g.slow(now))/2))
+	took := now.Sub(s.at) * normal / time.Duration(s.slow)
 	if w, ok := g.work[s.route]; ok {
 		g.work[s.route] = w + time.Duration(workGain*float64(took-w))
 	} else {
@@ -244,19 +256,30 @@
 func (g *Gate) Tick(now time.Time) {
 	g.now = now
 	g.fill(now)
-	g.queue.drop(func(t Ticket) bool {
-		return t.Deadline.Sub(now) <= g.Work(t.Route)
-	}, func(t Ticket) { g.options.Expire(t, Late, now) })
+	g.expire(now)
 }
 
+// fill starts queued tickets while there is room: first those that meet their
+// objective, then the others, each by priority and deadline.
 func (g *Gate) fill(now time.Time) {
-	for g.queue.len() > 0 && len(g.running) < g.slots && !g.draining && g.cold.take(now) {
-		t := g.queue.pop()
+	for g.queue.len() > 0 && len(g.running) < g.slots && !g.draining {
+		g.expire(now)
+		if g.queue.len() == 0 || !g.cold.take(now) {
+			return
+		}
+		t := g.queue.take(func(t Ticket) bool { return !g.misses(t, now, g.expect(t, now)) })
 		g.begin(t, now)
 		g.options.Start(t, now)
 	}
 }
 
+// expire gives up queued tickets that can't end by their deadline any more.
+func (g *Gate) expire(now time.Time) {
+	g.queue.drop(func(t Ticket) bool {
+		return t.Deadline.Sub(now) < g.expect(t, now)
+	}, func(t Ticket) { g.options.Expire(t, Late, now) })
+}
+
 func (g *Gate) begin(t Ticket, now time.Time) {
 	g.running[t.ID] = started{at: now, route: t.Route, slow: g.slow(now)}
 }
--- a/admit/ranked.go
+++ b/admit/ranked.go
@@ -52,6 +52,17 @@
 	return t
 }
 
+// take removes the first ticket that is preferred, or else the first one.
+func (q *ranked) take(preferred func(Ticket) bool) Ticket {
+	for i := len(q.items) - 1; i >= 0; i-- {
+		if t := q.items[i].ticket; preferred(t) {
+			q.items = slices.Delete(q.items, i, i+1)
+			return t
+		}
+	}
+	return q.pop()
+}
+
 func (q *ranked) remove(id ident.Request) bool {
 	n := len(q.items)
 	q.items = slices.DeleteFunc(q.items, func(w waiting) bool { return w.ticket.ID == id })
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -222,12 +222,30 @@
 		defer p.e.running.Done()
 		answer := p.e.run(ctx, t, m)
 		end := copyEnd{node: t.Member.Node, answer: answer, took: mono.Now().Sub(now)}
+		p.tell(m, end)
 		p.e.learn(p.q.service, end, errors.Is(ctx.Err(), context.Canceled))
 		p.ends <- end
 	}()
 	return true
 }
 
+// tell records the end of a copy with the load that its exit has told.
+func (p *placement) tell(m *wirepb.CallRequest, end copyEnd) {
+	h := end.answer.GetHint()
+	p.e.o.Emit(event.TryEnded,
+		event.F(event.Request, p.id),
+		event.F(event.Peer, end.node),
+		event.F(event.Last, m.GetLast()),
+		event.F(event.Outcome, call.OutcomeOf(end.answer.GetOutcome())),
+		event.F(event.Reason, call.ReasonOf(end.answer.GetReason())),
+		event.F(event.Status, end.answer.GetStatus()),
+		event.F(event.Slow, h.GetSlow()),
+		event.F(event.Running, h.GetInflight()),
+		event.F(event.Queued, h.GetQueued()),
+		event.F(event.Limit, h.GetLimit()),
+		event.F(event.Elapsed, end.took))
+}
+
 // target chooses the member of the next copy and tells whether the copy may
 // queue there. It may do so before its last try, too, if no other member is
 // left that admits anything: it then waits where the wait is shortest. A
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -94,6 +94,8 @@
 	cancel context.CancelFunc
 	ctx    context.Context
 	done   chan struct{}
+	// slow is the upstream's slowness when the request started, in percent.
+	slow int32
 	// answer is set before done is closed.
 	answer *wirepb.CallResponse
 }
@@ -302,7 +304,7 @@
 // refuse ends a request that the fence let through without running it.
 func (e *Exit) refuse(q *wirepb.CallRequest, a *wirepb.CallResponse, now time.Time) *wirepb.CallResponse {
 	e.fences.Finish(call.RequestID(q.GetId()), fence.Answer[*wirepb.CallResponse]{State: fence.Refused, Value: a}, now)
-	e.count(q, a, 0)
+	e.count(q, a, 0, 0)
 	return a
 }
 
@@ -325,7 +327,7 @@
 		state = fence.Refused
 	}
 	e.end(j, a, state, now)
-	e.count(j.q, a, busy)
+	e.count(j.q, a, busy, j.usual(busy))
 	e.limiter.Finish(j.id, resultOf(a), now)
 }
 
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -71,6 +71,7 @@
 
 // begin dispatches a job; it is called with the lock held.
 func (e *Exit) begin(j *job) {
+	j.slow = e.limiter.Load().Slow
 	go e.run(j, e.upstream)
 }
 
@@ -83,7 +84,7 @@
 // turnAway ends a job that the limiter doesn't run.
 func (e *Exit) turnAway(j *job, a *wirepb.CallResponse, now time.Time) {
 	e.end(j, a, fence.Refused, now)
-	e.count(j.q, a, 0)
+	e.count(j.q, a, 0, 0)
 }
 
 // abort stops a job whose caller has gone. A queued one ends as not run.
@@ -179,7 +180,7 @@
 
 // count reports the end of a request. The version is that of the request: the
 // upstream may have been replaced while it ran.
-func (e *Exit) count(q *wirepb.CallRequest, a *wirepb.CallResponse, busy time.Duration) {
+func (e *Exit) count(q *wirepb.CallRequest, a *wirepb.CallResponse, busy, work time.Duration) {
 	e.o.Count(Run{
 		Service: ident.Service(q.GetService()),
 		Version: ident.Version(q.GetVersion()),
@@ -190,16 +191,16 @@
 		Failed:  a.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && a.GetStatus() >= http.StatusInternalServerError,
 		Late:    a.GetReason() == wirepb.Reason_REASON_LATE || a.GetStatus() == http.StatusGatewayTimeout,
 		Busy:    busy,
-		Work:    e.usual(busy),
+		Work:    work,
 		In:      len(q.GetBody()),
 		Out:     len(a.GetBody()),
 	})
 }
 
 // usual returns a work time at the upstream's usual speed.
-func (e *Exit) usual(busy time.Duration) time.Duration {
-	if slow := e.limiter.Load().Slow; slow > usualSpeed {
-		return busy * usualSpeed / time.Duration(slow)
+func (j *job) usual(busy time.Duration) time.Duration {
+	if j.slow > usualSpeed {
+		return busy * usualSpeed / time.Duration(j.slow)
 	}
 	return busy
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -145,6 +145,7 @@
 		AnyVersion: true,
 		Budget: retry.BudgetOptions{
 			Sheds: true,
+			Tries: maxTries,
 			Ratio: budgetShare * b.Ratio,
 			Floor: budgetShare * b.Slack / b.Window.Seconds() / expectedNodes,
 			Burst: 1 + budgetShare*b.Slack/expectedNodes,
@@ -155,6 +156,11 @@
 	})
 }
 
+// maxTries bounds the tries that end in a refusal: three that are refused at
+// once, three that may queue. Later ones found no room either and held the
+// request for longer.
+const maxTries = 6
+
 // expectedNodes shares the slack of the budget. The platform scales the slack
 // with the number of nodes at about 2 a node plus 35, so that a fixed share of
 // a twentieth stays below it from 10 nodes on.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -23,6 +23,8 @@
 	// run: the request has reached the upstream, and upstreams that shed much
 	// would get a flood of tries.
 	Sheds bool
+	// Tries bounds the tries of one request that end in a refusal; 0 means MostTries.
+	Tries int
 }
 
 // Budget limits the extra runs of one entry node: retries after an unknown
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -202,11 +202,19 @@
 	return true
 }
 
+// most returns the number of refusals after which the request is given up.
+func (p *Plan) most() int {
+	if n := p.budget.options.Tries; n > 0 {
+		return n
+	}
+	return MostTries
+}
+
 func (p *Plan) afterRefusal(r Reason, now time.Time) Action {
 	p.flying--
 	p.refusals++
 	p.pause = 0
-	if r == Depth || r == Size || p.refusals >= MostTries || !now.Before(p.Deadline) {
+	if r == Depth || r == Size || p.refusals >= p.most() || !now.Before(p.Deadline) {
 		return p.end(now)
 	}
 	if r == Shed && p.budget.options.Sheds && !p.budget.Allow(now) {
