Trust the first heartbeat after a start only if the health check confirms it

A leaving without a time of birth now ends all starts of the instance so far. TestLateBeatsAfterRestart.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -93,6 +93,7 @@
 		Probes: 60, Memory: 128, Log: spec.Info,
 	}}
 	s.start(n)
+	s.announce(n)
 	s.nodes = append(s.nodes, n)
 	return n
 }
@@ -105,6 +106,11 @@
 	assert.NilError(s.t, err)
 	ended := n.ended
 	go func() { ended <- f.Run(ctx, nil) }()
+}
+
+// announce sends two heartbeats: the first after a start doesn't count alone.
+func (s *system) announce(n *node) {
+	s.beat(n, "ready")
 	s.beat(n, "ready")
 }
 
@@ -236,6 +242,35 @@
 	assert.Equal(t, s.send(n, http.MethodGet, "/read/x").status, http.StatusServiceUnavailable)
 }
 
+// Guards against a late heartbeat that brings an upstream back whose leaving
+// was acknowledged: by this start of the node, in any order, or by the one before.
+func TestLateBeatsAfterRestart(t *testing.T) {
+	s := newSystem(t, 2, slowly)
+	n := s.nodes[0]
+	late := func(sequence int) string {
+		return fmt.Sprintf(`{"address":%q,"born":1000,"info":{"service":"counter","version":"v1","slots":4},"status":{"state":"ready","sequence":%d,"cold_left_ms":0}}`,
+			n.upstream.Address(), sequence)
+	}
+	n.stop()
+	assert.NilError(t, <-n.ended)
+	n.upstream.SetIll(true)
+	s.start(n)
+	s.await("the node serves callers", func() bool { return s.send(n, http.MethodGet, "/read/x").status == http.StatusOK })
+	r, err := http.NewRequest(http.MethodDelete, "http://"+n.settings.Listen.Beats+"/api/instances/"+n.upstream.Instance, nil)
+	assert.NilError(t, err)
+	a, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	assert.Equal(t, a.StatusCode, http.StatusOK)
+	before := n.upstream.Total()
+	s.put(n, n.upstream.Instance, late(900))
+	s.put(n, n.upstream.Instance, late(901))
+	for range 3 {
+		s.reaches(n)
+	}
+	assert.Equal(t, n.upstream.Total(), before)
+}
+
 // Guards against a configuration that goes back, and against one that can't be
 // used replacing one that can.
 func TestConfigurationNeverGoesBack(t *testing.T) {
@@ -271,6 +306,7 @@
 	settings.Store.Address = cut.Address()
 	n.settings = &settings
 	s.start(n)
+	s.announce(n)
 	s.await("the restarted node serves", func() bool { return s.send(n, http.MethodGet, "/read/x").status == http.StatusOK })
 	s.store.Put("op", "evacuate/d0", `{}`)
 	s.await("the domain gets nothing", func() bool {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -59,8 +59,10 @@
 	present  identity
 	sequence int64
 	heardAt  time.Time
-	gone     []identity
-	misses   int
+	// beats counts the heartbeats that were accepted since the start.
+	beats  int
+	gone   []identity
+	misses int
 }
 
 func newUpstream(n *Node) *upstream {
@@ -78,6 +80,7 @@
 var (
 	errOtherAddress = errors.New("heartbeat of an upstream at another address than the one beside this node")
 	errGone         = errors.New("heartbeat of an upstream that has left")
+	errFirst        = errors.New("first heartbeat since the start isn't confirmed by the health check")
 	errOld          = errors.New("heartbeat is older than one before it")
 )
 
@@ -93,6 +96,10 @@
 		return err
 	}
 	id := identity{b.Instance, b.Born}
+	if !b.Draining && !u.trusted(b) {
+		u.n.log.Emit(event.BeatRejected, event.F(event.Instance, b.Instance), event.F(event.Address, b.Address), event.F(event.Error, errFirst))
+		return nil
+	}
 	u.n.exit.Announce(exit.Upstream{
 		Service:  b.Service,
 		Version:  b.Version,
@@ -111,6 +118,24 @@
 	return nil
 }
 
+// trusted reports whether a beat shows that the upstream takes requests. The
+// first one after a start of this process may be a late one of an upstream
+// whose leaving the process before has acknowledged: it counts only if the
+// upstream's health check confirms it, or else with the next beat.
+func (u *upstream) trusted(b platform.Beat) bool {
+	u.mu.Lock()
+	known := u.beats > 1
+	u.mu.Unlock()
+	t := u.n.orders.table()
+	if known || t == nil {
+		return known
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
+	h, err := platform.Probe(ctx, u.probes, b.Address, t.Services[b.Service].Health)
+	return err == nil && h.Well && (h.Instance == "" || h.Instance == b.Instance)
+}
+
 // judge orders beats: those of the present start by their sequence, other
 // starts by their birth. A beat of an upstream that has left never counts.
 func (u *upstream) judge(b platform.Beat) error {
@@ -138,6 +163,7 @@
 		u.probes.Forget()
 	}
 	u.present, u.sequence, u.heardAt = id, b.Sequence, now
+	u.beats++
 	return nil
 }
 
@@ -155,15 +181,15 @@
 	}
 }
 
-// left takes the message that an upstream leaves for good.
+// left takes the message that an upstream leaves for good. Without its time of
+// birth, all starts of the instance up to now have left.
 func (u *upstream) left(instance string, born int64) error {
 	u.mu.Lock()
 	present := u.present.instance == instance && (born == 0 || born == u.present.born)
-	if present {
-		u.leave(u.present)
-	} else if born != 0 {
-		u.leave(identity{instance, born})
+	if born == 0 {
+		born = time.Now().UnixMilli()
 	}
+	u.leave(identity{instance, born})
 	u.mu.Unlock()
 	if present && !u.n.exit.Upstream().Draining {
 		u.n.exit.DrainUpstream()
