--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -21,7 +21,7 @@
 
 const (
 	// feedWait is how long one question to the feed may wait for a change.
-	feedWait = 10 * time.Second
+	feedWait = 20 * time.Second
 	// readLimit bounds one read; the store answers in 4 ms, and 100 times that
 	// while it is slow.
 	readLimit = 1500 * time.Millisecond
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -24,7 +24,7 @@
 	// probeInterval is the time between two health checks. The slowness of an
 	// instance lasts for about half a second and its report costs a request's
 	// fraction; 30 ms and 100 ms served equally many in a trial.
-	probeInterval = 50 * time.Millisecond
+	probeInterval = 75 * time.Millisecond
 	// probeLimit bounds one health check, which the upstream answers at once.
 	probeLimit = 300 * time.Millisecond
 	// lostProbes in a row without a connection mean that the upstream is down.
