--- a/admit/gate.go
+++ b/admit/gate.go
@@ -146,9 +146,9 @@
 		return Decision{Reason: Draining}
 	case g.slots == 0:
 		return Decision{Reason: Full, RetryAfter: expected}
-	case g.slow(now) >= SlowPercent && !t.Last && (left < expected || g.misses(t, now, expected)):
+	case g.slow(now) >= SlowPercent && !t.Last && (left <= expected || g.misses(t, now, expected)):
 		return Decision{Reason: Slow, RetryAfter: expected}
-	case left < expected:
+	case left <= expected:
 		return Decision{Reason: Late}
 	case room && g.cold.take(now):
 		g.begin(t, now)
@@ -276,7 +276,7 @@
 // expire gives up queued tickets that can't end by their deadline any more.
 func (g *Gate) expire(now time.Time) {
 	g.queue.drop(func(t Ticket) bool {
-		return t.Deadline.Sub(now) < g.expect(t, now)
+		return t.Deadline.Sub(now) <= g.expect(t, now)
 	}, func(t Ticket) { g.options.Expire(t, Late, now) })
 }
 
--- /dev/null
+++ b/admit/gate_test.go
@@ -0,0 +1,203 @@
+package admit_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/admit"
+	"github.com/cicadahall/cicadahall/ident"
+)
+
+func ExampleGate() {
+	g := admit.NewGate(admit.GateOptions{Slots: 1})
+	g.SetReport(admit.Report{Slow: 700}, start)
+	first := admit.Ticket{ID: id(1), Deadline: start.Add(time.Second), Objective: start.Add(200 * time.Millisecond)}
+	fmt.Println(g.Offer(first, start).Reason)
+	first.Last = true
+	fmt.Println(g.Offer(first, start).Verdict == admit.Run)
+	// Output:
+	// slow
+	// true
+}
+
+// gateModel follows the tickets of a Gate by what its comment promises.
+type gateModel struct {
+	running, queued map[ident.Request]admit.Ticket
+	slots           int
+	draining        bool
+	cold            bool
+	starts          []time.Time
+}
+
+func (m *gateModel) run(t *rapid.T, k admit.Ticket, now time.Time) {
+	assert.Assert(t, !m.draining, "started while draining")
+	assert.Assert(t, k.Deadline.After(now), "started after its deadline")
+	m.running[k.ID] = k
+	assert.Assert(t, len(m.running) <= m.slots, "%d run in %d slots", len(m.running), m.slots)
+	if m.cold {
+		m.starts = append(m.starts, now)
+	}
+}
+
+// coldRate and coldBurst are what the cold upstream of the test bears.
+const (
+	coldRate  = 10.0
+	coldBurst = 3.0
+)
+
+// checkPace compares the starts while cold with the bound of every second.
+func (m *gateModel) checkPace(t *rapid.T) {
+	for i, first := range m.starts {
+		n := 0
+		for _, s := range m.starts[i:] {
+			if s.Sub(first) < time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, float64(n) <= coldRate+coldBurst, "%d starts in one cold second", n)
+	}
+}
+
+// Guards over random interleavings against more running requests than slots,
+// a queued request with two fates or none, a start after the deadline or while
+// draining, and a cold upstream that gets more in a second than it bears.
+func TestGateInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &gateModel{running: map[ident.Request]admit.Ticket{}, queued: map[ident.Request]admit.Ticket{}}
+		m.slots = rapid.IntRange(1, 5).Draw(t, "slots")
+		now, n := start, 0
+		g := admit.NewGate(admit.GateOptions{
+			Slots: ident.Slots(m.slots), Queue: 4,
+			Start: func(k admit.Ticket, at time.Time) {
+				_, waited := m.queued[k.ID]
+				assert.Assert(t, waited, "started without waiting")
+				delete(m.queued, k.ID)
+				m.run(t, k, at)
+			},
+			Expire: func(k admit.Ticket, r admit.Reason, _ time.Time) {
+				_, waited := m.queued[k.ID]
+				assert.Assert(t, waited && r != admit.None)
+				delete(m.queued, k.ID)
+			},
+		})
+		g.SetCold(coldRate, coldBurst)
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				n++
+				k := ticket(n, time.Duration(rapid.IntRange(-5, 900).Draw(t, "left"))*time.Millisecond, now)
+				k.Last = rapid.Bool().Draw(t, "last")
+				k.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				k.Objective = k.Deadline.Add(-100 * time.Millisecond)
+				// The ticket may start within Offer, when the queue moves up.
+				m.queued[k.ID] = k
+				switch d := g.Offer(k, now); d.Verdict {
+				case admit.Run:
+					delete(m.queued, k.ID)
+					m.run(t, k, now)
+				case admit.Queue:
+					assert.Assert(t, k.Last && !m.draining)
+				default:
+					delete(m.queued, k.ID)
+					assert.Assert(t, d.Reason != admit.None)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				if len(m.running) == 0 {
+					return
+				}
+				low := func(a, b ident.Request) int { return cmp.Compare(a.Low(), b.Low()) }
+				k := rapid.SampledFrom(slices.SortedFunc(maps.Keys(m.running), low)).Draw(t, "request")
+				delete(m.running, k)
+				g.Finish(k, admit.Result(rapid.IntRange(0, 3).Draw(t, "result")), now)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				g.Tick(now)
+			},
+			"report": func(t *rapid.T) {
+				m.cold = rapid.Bool().Draw(t, "cold")
+				r := admit.Report{Slow: rapid.IntRange(0, 900).Draw(t, "slow"), Warmth: true}
+				if m.cold {
+					r.Cold = time.Hour
+				} else {
+					m.starts = nil
+				}
+				g.SetReport(r, now)
+			},
+			"drain": func(t *rapid.T) {
+				if rapid.IntRange(0, 19).Draw(t, "chance") == 0 {
+					m.draining = true
+					g.Drain(now)
+					assert.Equal(t, len(m.queued), 0)
+				}
+			},
+			"": func(t *rapid.T) {
+				h := g.Load()
+				assert.Equal(t, int(h.Inflight), len(m.running))
+				assert.Equal(t, int(h.Queued), len(m.queued))
+				m.checkPace(t)
+			},
+		})
+	})
+}
+
+// teach lets a gate learn the work time of the empty route.
+func teach(g *admit.Gate, work time.Duration) time.Time {
+	now := start
+	for n := range 20 {
+		g.Offer(admit.Ticket{ID: id(1000 + n), Deadline: now.Add(time.Minute), Last: true}, now)
+		now = now.Add(work)
+		g.Finish(id(1000+n), admit.Done, now)
+	}
+	return now
+}
+
+// Guards against slots that are taken by requests which can't end in time: at
+// the present slowness the work ends after the deadline.
+func TestGateRefusesWhatCantEnd(t *testing.T) {
+	g := admit.NewGate(admit.GateOptions{Slots: 2})
+	now := teach(g, 100*time.Millisecond)
+	k := admit.Ticket{ID: id(1), Deadline: now.Add(500 * time.Millisecond), Last: true}
+	g.SetReport(admit.Report{Slow: 700}, now)
+	assert.Equal(t, g.Offer(k, now).Reason, admit.Late)
+	g.SetReport(admit.Report{Slow: 100}, now)
+	assert.Equal(t, g.Offer(k, now).Verdict, admit.Run)
+}
+
+// Guards against a queue that lets the less urgent run first, or a request that
+// misses its objective before one that can still meet it.
+func TestGateOrder(t *testing.T) {
+	var order []uint64
+	g := admit.NewGate(admit.GateOptions{
+		Slots: 1, Queue: 8,
+		Start:  func(k admit.Ticket, _ time.Time) { order = append(order, k.ID.Low()) },
+		Expire: func(admit.Ticket, admit.Reason, time.Time) {},
+	})
+	now := teach(g, 10*time.Millisecond)
+	deadline := now.Add(10 * time.Second)
+	offer := func(n, priority int, objective time.Duration) {
+		k := admit.Ticket{ID: id(n), Deadline: deadline, Last: true, Priority: priority, Objective: now.Add(objective)}
+		g.Offer(k, now)
+	}
+	offer(1, 0, time.Second)
+	offer(2, 2, time.Second)
+	offer(3, 1, time.Second)
+	offer(4, 0, 45*time.Millisecond)
+	offer(5, 0, time.Second)
+	now = now.Add(60 * time.Millisecond)
+	for n := range 5 {
+		if n > 0 {
+			g.Finish(id(int(order[n-1])), admit.Done, now)
+		} else {
+			g.Finish(id(1), admit.Done, now)
+		}
+	}
+	assert.DeepEqual(t, order, []uint64{5, 3, 2, 4})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// SetRate changes the bound of extra runs; see retry.Budget.
+func (e *Entry) SetRate(floor, burst float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.SetRate(floor, burst)
+}
+
 // SetCatalog puts the services of a manifest in force.
 func (e *Entry) SetCatalog(c *Catalog) {
 	e.catalog.Store(c)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,7 +125,7 @@
 	})
 }
 
-// budgetShare of the bound on repeats is spent, since nodes count only their
+// budgetShare of the ratio of repeats is spent, since nodes count only their
 // own and calls of repeated requests count as repeats, too.
 const budgetShare = 0.5
 
@@ -147,8 +147,6 @@
 			Sheds: true,
 			Tries: maxTries,
 			Ratio: budgetShare * b.Ratio,
-			Floor: budgetShare * b.Slack / b.Window.Seconds() / expectedNodes,
-			Burst: 1 + budgetShare*b.Slack/expectedNodes,
 		},
 		Peers: entry.Peers{Call: n.pool.Call, Resolve: n.pool.Resolve, Distrust: n.pool.Distrust},
 		Local: entry.Local{Call: n.exit.Call, Resolve: n.exit.Resolve},
@@ -161,10 +159,21 @@
 // request for longer.
 const maxTries = 6
 
-// expectedNodes shares the slack of the budget. The platform scales the slack
-// with the number of nodes at about 2 a node plus 35, so that a fixed share of
-// a twentieth stays below it from 10 nodes on.
-const expectedNodes = 20
+const (
+	// leastNodes is the number of nodes that the slack of the budget is shared
+	// between at least: a node that knows few others may have just started.
+	leastNodes = 10
+	// floorShare of the slack is spent as it comes, burstShare saved up.
+	floorShare = 0.5
+	burstShare = 0.25
+)
+
+// share sets this node's part of the slack that all nodes have together.
+func (n *Node) share(nodes int) {
+	b := n.settings.Budget
+	part := b.Slack / float64(max(leastNodes, nodes))
+	n.entry.SetRate(floorShare*part/b.Window.Seconds(), 1+burstShare*part)
+}
 
 func (n *Node) weight(d ident.Domain, _ time.Time) float64 {
 	if n.orders.evacuated(d) {
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -143,7 +143,9 @@
 		}
 		r.update()
 		r.n.entry.Update(r.targets())
-		r.n.pool.Forget(r.addresses())
+		addresses := r.addresses()
+		r.n.pool.Forget(addresses)
+		r.n.share(len(addresses))
 		select {
 		case <-ctx.Done():
 			return
--- a/move/brief.go
+++ b/move/brief.go
@@ -66,9 +66,10 @@
 	// rest of the time is for writing the outcome while the store is slow.
 	doneShare = 0.8
 	// trialCut and pushCut are the parts of the bound that may be used in these
-	// times. Requests that are on their way when the fault shows count, too.
-	trialCut = 0.35
-	pushCut  = 0.8
+	// times. The rest is for the requests that the version gets between the end
+	// of the push and the moment at which all exits know of a fault.
+	trialCut = 0.3
+	pushCut  = 0.5
 	// leastBad failures and a failure rate that is higher than the old version's
 	// by badRate show a fault, if chance explains the difference less often than
 	// in 1 of 1,000 looks (badSigma standard deviations). A faulty version fails
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -51,6 +51,14 @@
 	return &Budget{options: o, tokens: o.Burst}
 }
 
+// SetRate changes Floor and Burst, such as after the number of nodes that
+// share a common bound has changed.
+func (b *Budget) SetRate(floor, burst float64) {
+	b.options.Floor = floor
+	b.options.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // First counts a first attempt.
 func (b *Budget) First(now time.Time) {
 	b.refill(now)
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,77 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/route"
+)
+
+func rule(name, host, prefix string, parts ...route.Part) route.Rule {
+	return route.Rule{Name: ident.Route(name), Host: host, Prefix: prefix, Parts: parts}
+}
+
+var shop = route.Part{Service: "shop", Weight: 1}
+
+func Example() {
+	t, err := route.New(7, route.Limits{}, []route.Service{{Name: "shop"}}, []route.Rule{
+		rule("all", "a.example", "/", shop),
+		rule("books", "a.example", "/books/", shop),
+	})
+	fmt.Println(err)
+	r, _ := t.Find("a.example:8080", "/books/7")
+	fmt.Println(r.Name)
+	_, ok := t.Find("b.example", "/books/7")
+	fmt.Println(ok)
+	// Output:
+	// <nil>
+	// books
+	// false
+}
+
+// Guards against configurations that would send requests nowhere.
+func TestUnusableRules(t *testing.T) {
+	for name, r := range map[string]route.Rule{
+		"no host":         rule("r", "", "/", shop),
+		"no slash":        rule("r", "h", "/x", shop),
+		"no service":      rule("r", "h", "/x/"),
+		"unknown service": rule("r", "h", "/x/", route.Part{Service: "other", Weight: 1}),
+		"no weight":       rule("r", "h", "/x/", route.Part{Service: "shop"}),
+		"negative weight": rule("r", "h", "/x/", route.Part{Service: "shop", Weight: -1}, shop, shop),
+	} {
+		_, err := route.New(1, route.Limits{}, []route.Service{{Name: "shop"}}, []route.Rule{r})
+		assert.ErrorIs(t, err, route.ErrRule, name)
+	}
+}
+
+// Guards against shares that drift from their weights: within any number of
+// requests each part is at most one request for each part off its share.
+func TestSplitterKeepsShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 2, 5).Draw(t, "weights")
+		weights[0]++
+		total := 0
+		var parts []route.Part
+		for i, w := range weights {
+			total += w
+			parts = append(parts, route.Part{Service: ident.Service(fmt.Sprint(i)), Weight: w})
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		s := route.NewSplitter(random.Float64)
+		r := rule("r", "h", "/", parts...)
+		counts := map[ident.Service]int{}
+		for n := 1; n <= 300; n++ {
+			counts[s.Next(r)]++
+			for _, p := range parts {
+				off := float64(counts[p.Service]) - float64(n*p.Weight)/float64(total)
+				assert.Assert(t, off > -float64(len(parts)) && off < float64(len(parts)), "%s off by %v after %d", p.Service, off, n)
+				assert.Assert(t, p.Weight > 0 || counts[p.Service] == 0)
+			}
+		}
+	})
+}
