--- a/internal/cmd/verbs/side.go
+++ b/internal/cmd/verbs/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -51,9 +52,11 @@
 			}
 		}
 	}()
-	n, err := fleet.New(fleet.Options{Settings: s, Reload: readSide, Output: event.Output(v.s.out), Version: Number})
-	if err != nil {
-		return err
+	var n *fleet.Node
+	q := event.NewQueue(v.s.out, func(lost int) { n.Dropped(lost) })
+	n, err = fleet.New(fleet.Options{Settings: s, Reload: readSide, Output: event.Output(q), Version: Number})
+	if err == nil {
+		err = n.Run(ctx, reload)
 	}
-	return n.Run(ctx, reload)
+	return errors.Join(err, q.Close())
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/internal/call"
 	"github.com/cicadahall/cicadahall/internal/exit"
 )
@@ -27,10 +29,21 @@
 	}
 }
 
-// countStore counts the calls of the store; status 0 is a call without answer.
+// countStore counts the calls of the store by path and status; status 0 is a
+// call without answer.
 func (n *Node) countStore(path string, status int) {
-	n.counter("store.calls." + strconv.Itoa(status)).Inc(1)
-	_ = path // the paths are few and known by their order in the log
+	name := strings.ReplaceAll(strings.Trim(path, "/"), "/", ".")
+	n.counter("store." + name + "." + strconv.Itoa(status)).Inc(1)
+}
+
+// Dropped counts log lines that were dropped. The log that has dropped them
+// holds its lock, so that the event is emitted by another goroutine.
+func (n *Node) Dropped(lines int) {
+	if n == nil {
+		return
+	}
+	n.counter("log.dropped").Inc(int64(lines))
+	go n.log.Emit(event.LinesDropped, event.F(event.Count, lines))
 }
 
 // countRun counts a request that has ended at the exit.
