--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -93,7 +93,7 @@
 	{BeatRejected, "beat-rejected", Warn, []Name{Instance, Address, Error}, "A heartbeat was refused and changed nothing."},
 	{UpstreamLost, "upstream-lost", Warn, []Name{Instance, Address, Reason}, "The upstream takes no connections. Reason is what found it."},
 	{UpstreamFound, "upstream-found", Info, []Name{Instance, Address}, "An upstream that was lost answers health checks again."},
-	{RequestRefused, "request-refused", Debug, []Name{Request, Service, Route, Caller, Reason}, "A request was refused and did not run."},
+	{RequestRefused, "request-refused", Info, []Name{Request, Fence, Route, Service, Outcome, Reason, Status, Deadline, Elapsed}, "A request was refused and did not run."},
 	{RequestUnknown, "request-unknown", Warn, []Name{Request, Service, Route, Caller, Peer, Reason}, "The outcome of a request is not known."},
 	{RequestResolved, "request-resolved", Info, []Name{Request, Peer, Outcome, Elapsed}, "A request with a lost response was brought to a known outcome."},
 	{ConnectionSilent, "connection-silent", Warn, []Name{Peer, Address, Elapsed}, "A connection made no progress and was discarded."},
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -60,9 +60,11 @@
 	sequence int64
 	heardAt  time.Time
 	// beats counts the heartbeats that were accepted since the start.
-	beats  int
-	gone   []identity
-	misses int
+	beats int
+	// pending is a heartbeat that wasn't trusted.
+	pending *platform.Beat
+	gone    []identity
+	misses  int
 }
 
 func newUpstream(n *Node) *upstream {
@@ -95,11 +97,23 @@
 		u.n.log.Emit(event.BeatRejected, event.F(event.Instance, b.Instance), event.F(event.Address, b.Address), event.F(event.Error, err))
 		return err
 	}
-	id := identity{b.Instance, b.Born}
 	if !b.Draining && !u.trusted(b) {
 		u.n.log.Emit(event.BeatRejected, event.F(event.Instance, b.Instance), event.F(event.Address, b.Address), event.F(event.Error, errFirst))
+		u.mu.Lock()
+		u.pending = &b
+		u.mu.Unlock()
 		return nil
 	}
+	u.accept(b)
+	return nil
+}
+
+// accept passes a heartbeat on to the exit.
+func (u *upstream) accept(b platform.Beat) {
+	u.mu.Lock()
+	u.pending = nil
+	u.mu.Unlock()
+	id := identity{b.Instance, b.Born}
 	u.n.exit.Announce(exit.Upstream{
 		Service:  b.Service,
 		Version:  b.Version,
@@ -115,7 +129,23 @@
 	if b.Draining && !u.n.exit.Upstream().Draining {
 		u.n.exit.DrainUpstream()
 	}
-	return nil
+}
+
+// confirm looks at a heartbeat that wasn't trusted again: what was missing may
+// have been the configuration, which names the health check.
+func (u *upstream) confirm() {
+	u.mu.Lock()
+	b := u.pending
+	u.mu.Unlock()
+	if b == nil || !u.trusted(*b) {
+		return
+	}
+	u.mu.Lock()
+	present := u.pending == b
+	u.mu.Unlock()
+	if present {
+		u.accept(*b)
+	}
 }
 
 // trusted reports whether a beat shows that the upstream takes requests. The
@@ -190,6 +220,7 @@
 		born = time.Now().UnixMilli()
 	}
 	u.leave(identity{instance, born})
+	u.pending = nil
 	u.mu.Unlock()
 	if present && !u.n.exit.Upstream().Draining {
 		u.n.exit.DrainUpstream()
@@ -291,6 +322,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
+			u.confirm()
 			u.probe(ctx)
 		}
 	}
