--- a/fence/table.go
+++ b/fence/table.go
@@ -9,9 +9,9 @@
 //   - A fence is kept until the request's deadline plus the clock bound, and
 //     no request gets Run after that moment.
 //
-// The deadline must be absolute and the same in every message about one
-// request. A deadline that the receiver computes from the time left moves with
-// the delay of the message, and a late copy would then outlive its fence.
+// The deadline of a late copy must not lie beyond that of its fence. A shell
+// whose messages carry the time left therefore passes a deadline that is later
+// than the request's by the longest delay that its connections allow.
 //
 // Time never steps back inside a table, so that a jump forward makes it refuse
 // requests until the real time has caught up. The shell therefore passes the
