Wait for abandoned requests to end in their test

TestAbandonedRequestsLeaveTheCount failed once in a run of make test. Cause: the callers' time limit ran out 20 ms after the request, and the last copies were still being settled when the requests that count began; after its first answer the other member is preferred for all 60. The assertion is unchanged.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -485,16 +485,27 @@
 		// With one slot a member isn't ramping up, so that only load decides.
 		n.targets[i].Member.Slots = 1
 	}
-	n.setCall(silent)
+	// Each caller leaves once its request is on its way, and the copies have
+	// ended before the next request: it must not meet one that is still counted.
+	started := make(chan struct{})
+	n.setCall(func(ctx context.Context, m *member, q *wirepb.CallRequest, p func()) (*wirepb.CallResponse, error) {
+		started <- struct{}{}
+		return silent(ctx, m, q, p)
+	})
 	n.entry.Update(n.targets[:1])
-	impatient := &http.Client{Timeout: 20 * time.Millisecond}
 	for range 40 {
-		req, err := http.NewRequest(http.MethodPost, n.server.URL+"/x", http.NoBody)
+		ctx, leave := context.WithCancel(t.Context())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.server.URL+"/x", http.NoBody)
 		assert.NilError(t, err)
 		req.Header.Set(call.HeaderService, "s")
-		_, err = impatient.Do(req)
+		go func() {
+			<-started
+			leave()
+		}()
+		_, err = http.DefaultClient.Do(req)
 		assert.Assert(t, err != nil)
 	}
+	n.entry.Close()
 	n.setCall(deliver)
 	n.entry.Update(n.targets)
 	for range 60 {
