Use one piece of code where the read-through found two

One constant each for slow (choose) and usual speed (admit). - gossip.Book holds the members' records for internal/node and internal/fleet, which had the same map, lock and look-ups. - fleet counts members by version once per change instead of with each request of a service that has moved. - exit.BrokenBy and conns.Dial replace their copies in fleet and peer. - moves.tick returns whether a fault became known, in place of a deferred closure whose comment about the lock was wrong; a context that nothing read is gone. - The node owns the queue of its log and closes it; verbs had to guard against a node that wasn't there yet. - Settings and fields that nothing read are gone: store rates, memory, and limits of a configuration other than the body's; Brief.Counters was used by its test only. - The order of locks and what a reload does are described as they are.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -18,7 +18,7 @@
 	options GateOptions
 	slots   int
 	running map[ident.Request]started
-	queue   ranked
+	queue   queue
 	load    Report
 	loadAt  time.Time
 	// foreign counts requests at the upstream that this Gate doesn't know, such
@@ -68,10 +68,6 @@
 	// queuePerGateSlot bounds the queue to about two work times; longer waits
 	// rarely end within a caller's deadline.
 	queuePerGateSlot = 3
-	// SlowPercent is the slowness from which a request is better placed on
-	// another upstream. Normal work varies by a third, a noisy neighbour makes
-	// it several times longer.
-	SlowPercent = 200
 	// reportFresh is how long a report of slowness counts. The slowness of an
 	// instance lasts for about half a second.
 	reportFresh = 400 * time.Millisecond
@@ -89,6 +85,7 @@
 	return &Gate{
 		options: o,
 		slots:   int(o.Slots),
+		queue:   newQueue(o.Queue),
 		running: map[ident.Request]started{},
 		work:    map[ident.Route]time.Duration{},
 	}
@@ -158,7 +155,7 @@
 		return Decision{Reason: Draining}
 	case g.slots == 0:
 		return Decision{Reason: Full, RetryAfter: expected}
-	case g.slow(now) >= SlowPercent && !t.Last && (left <= expected || g.misses(t, now, expected)):
+	case g.slow(now) >= choose.SlowPercent && !t.Last && (left <= expected || g.misses(t, now, expected)):
 		return Decision{Reason: Slow, RetryAfter: expected}
 	case left <= expected:
 		return Decision{Reason: Late}
@@ -206,16 +203,16 @@
 // users' platform the slowness at the start of a request holds for all of its
 // work: counting on its end half a second later lost 0.1 of the worth of a quiet day.
 func (g *Gate) expect(t Ticket, now time.Time) time.Duration {
-	return g.Work(t.Route) * time.Duration(g.slow(now)) / normal
+	return g.Work(t.Route) * time.Duration(g.slow(now)) / UsualSpeed
 }
 
-// normal is the usual work time, in percent.
-const normal = 100
+// UsualSpeed is the slowness of an upstream that isn't slow, in percent.
+const UsualSpeed = 100
 
 // slow returns the slowness now; a report that is too old counts as normal.
 func (g *Gate) slow(now time.Time) int {
-	if g.load.Slow < normal || now.Sub(g.loadAt) > reportFresh {
-		return normal
+	if g.load.Slow < UsualSpeed || now.Sub(g.loadAt) > reportFresh {
+		return UsualSpeed
 	}
 	return g.load.Slow
 }
@@ -258,7 +255,7 @@
 // learn averages the work time of requests, corrected by the slowness that the
 // upstream reported when they started.
 func (g *Gate) learn(s started, now time.Time) {
-	took := now.Sub(s.at) * normal / time.Duration(s.slow)
+	took := now.Sub(s.at) * UsualSpeed / time.Duration(s.slow)
 	if w, ok := g.work[s.route]; ok {
 		g.work[s.route] = w + time.Duration(workGain*float64(took-w))
 	} else {
--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -24,7 +24,7 @@
 	if !t.Last || l.queue.full() || l.limit() == 0 {
 		return Decision{Reason: Full, RetryAfter: wait}
 	}
-	if l.late(t, l.wait(l.queue.ahead(t.Deadline)), now) {
+	if l.late(t, l.wait(l.queue.ahead(t)), now) {
 		return Decision{Reason: Late}
 	}
 	l.queue.push(t)
--- a/choose/peer.go
+++ b/choose/peer.go
@@ -26,11 +26,12 @@
 	lastPause = 30 * time.Second
 	// closedPause is the time that a member which admits nothing is used last.
 	closedPause = 250 * time.Millisecond
-	// strainedPercent is the reported slowness from which another member is
-	// preferred, and strainedFor the time that such a report counts: the
+	// SlowPercent is the reported slowness from which another member is
+	// preferred: normal work varies by a third, a noisy neighbour makes it several
+	// times longer. strainedFor is the time that such a report counts: the
 	// slowness of a shared instance lasts for about half a second.
-	strainedPercent = 200
-	strainedFor     = 250 * time.Millisecond
+	SlowPercent = 200
+	strainedFor = 250 * time.Millisecond
 	// recent is the number of send times kept per member.
 	recent = 4
 )
@@ -220,7 +221,7 @@
 // strained reports whether the member has just told that its work takes
 // several times as long as usual.
 func (p *peer) strained(now time.Time) bool {
-	return p.hint.Slow >= strainedPercent && now.Sub(p.heard) < strainedFor
+	return p.hint.Slow >= SlowPercent && now.Sub(p.heard) < strainedFor
 }
 
 // last reports whether the member is used only if no other is left.
--- a/choose/search.go
+++ b/choose/search.go
@@ -144,12 +144,12 @@
 	}
 	score := busy/limit + slowWeight*p.slowness()
 	if p.strained(s.now) {
-		score += float64(p.hint.Slow) / strainedPercent
+		score += float64(p.hint.Slow) / SlowPercent
 	}
 	if s.query.Last {
 		score = (busy + 1) / limit * (1 + p.slowness())
 		if p.strained(s.now) {
-			score *= float64(p.hint.Slow) / strainedPercent
+			score *= float64(p.hint.Slow) / SlowPercent
 		}
 	}
 	if p.failing >= failLimit && r == free {
--- a/internal/cmd/verbs/side.go
+++ b/internal/cmd/verbs/side.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
-	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/internal/fleet"
 	"github.com/cicadahall/cicadahall/internal/spec"
 	"github.com/cicadahall/cicadahall/platform"
@@ -52,11 +50,9 @@
 			}
 		}
 	}()
-	var n *fleet.Node
-	q := event.NewQueue(v.s.out, func(lost int) { n.Dropped(lost) })
-	n, err = fleet.New(fleet.Options{Settings: s, Reload: readSide, Output: event.Output(q), Version: Number})
-	if err == nil {
-		err = n.Run(ctx, reload)
+	n, err := fleet.New(fleet.Options{Settings: s, Reload: readSide, Log: v.s.out, Version: Number})
+	if err != nil {
+		return err
 	}
-	return errors.Join(err, q.Close())
+	return n.Run(ctx, reload)
 }
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -175,17 +175,26 @@
 		}
 		_ = c.Close()
 	}
-	d := net.Dialer{Timeout: dialLimit}
-	n, err := d.DialContext(ctx, "tcp", address)
+	n, err := Dial(ctx, "tcp", address, dialLimit)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	p.o.Dialed()
-	if t, ok := n.(*net.TCPConn); ok {
-		// A request that is given up is reset, so that it doesn't arrive later.
+	return &conn{Conn: n, address: address, reader: bufio.NewReaderSize(n, bufferSize), keep: idleLimit}, nil
+}
+
+// Dial opens a connection that is reset when it is closed: what a connection
+// that was given up still holds must not arrive later.
+func Dial(ctx context.Context, network, address string, limit time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: limit}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
-	return &conn{Conn: n, address: address, reader: bufio.NewReaderSize(n, bufferSize), keep: idleLimit}, nil
+	return c, nil
 }
 
 // kept takes the connection that was used last, which is the least likely to
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -75,7 +75,7 @@
 		return refusal(q, wirepb.Reason_REASON_DOWN)
 	}
 	if err != nil {
-		return unknown(q, brokenBy(ctx))
+		return unknown(q, BrokenBy(ctx))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(call.HeaderShed) == "true" {
@@ -84,9 +84,9 @@
 	return d.answer(ctx, q, resp)
 }
 
-// brokenBy tells why a request ended without a whole answer. One that was
+// BrokenBy tells why a request ended without a whole answer. One that was
 // aborted, or ran into its deadline, says nothing about the connection.
-func brokenBy(ctx context.Context) wirepb.Reason {
+func BrokenBy(ctx context.Context) wirepb.Reason {
 	switch ctx.Err() {
 	case nil:
 		return wirepb.Reason_REASON_BROKEN
@@ -105,7 +105,7 @@
 		return unknown(q, wirepb.Reason_REASON_SIZE)
 	}
 	if err != nil {
-		return unknown(q, brokenBy(ctx))
+		return unknown(q, BrokenBy(ctx))
 	}
 	return &wirepb.CallResponse{
 		Id:      q.GetId(),
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -199,11 +199,8 @@
 
 // usual returns a work time at the upstream's usual speed.
 func (j *job) usual(busy time.Duration) time.Duration {
-	if j.slow > usualSpeed {
-		return busy * usualSpeed / time.Duration(j.slow)
+	if j.slow > admit.UsualSpeed {
+		return busy * admit.UsualSpeed / time.Duration(j.slow)
 	}
 	return busy
 }
-
-// usualSpeed is the slowness of an upstream that isn't slow, in percent.
-const usualSpeed = 100
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,13 +6,14 @@
 // upstream tells binds this node's exit before it is acknowledged; no decision
 // rests on the time of day.
 //
-// Locks are taken in this order: shell of the membership, orders, moves, exit,
+// Locks are taken in this order: shell of the membership, exit, orders, moves,
 // roster, entry.
 package fleet
 
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -50,8 +51,8 @@
 	Settings *spec.Side
 	// Reload returns the settings as they are now.
 	Reload func() (*spec.Side, error)
-	// Output writes the log; see event.Output.
-	Output func(keyvals ...any) error
+	// Log takes the lines of the log; nil drops them.
+	Log io.Writer
 	// Version is that of the program, for the log.
 	Version string
 }
@@ -63,6 +64,7 @@
 	start    ident.Start
 	began    time.Time
 	log      *event.Log
+	lines    *event.Queue
 	metrics  metrics.Registry
 	store    *platform.Store
 	exit     *exit.Exit
@@ -88,8 +90,12 @@
 		metrics:  metrics.NewRegistry(),
 		pool:     peer.NewPool(peer.Options{Body: maxBody}),
 	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	n.lines = event.NewQueue(o.Log, n.dropped)
 	level, _ := event.ParseLevel(string(o.Settings.Log))
-	n.log = event.New(event.Options{Node: o.Settings.Node, Start: n.start, Level: level, Output: o.Output, Size: ringSize})
+	n.log = event.New(event.Options{Node: o.Settings.Node, Start: n.start, Level: level, Output: event.Output(n.lines), Size: ringSize})
 	n.store = platform.NewStore(o.Settings.Store.Address, n.countStore)
 	n.moves = newMoves(n)
 	n.orders = newOrders(n)
@@ -100,7 +106,7 @@
 	n.front = newFront(n)
 	if err := n.open(); err != nil {
 		n.exit.Close()
-		return nil, err
+		return nil, errors.Join(err, n.lines.Close())
 	}
 	return n, nil
 }
@@ -257,6 +263,7 @@
 	n.pool.Close()
 	n.store.Close()
 	n.log.Emit(event.NodeStopped, event.F(event.Elapsed, time.Since(began)), event.F(event.Count, cut))
+	_ = n.lines.Close() // never fails
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -86,11 +86,11 @@
 		Node: ident.Node(fmt.Sprintf("n%d", i)), Service: "counter",
 		Domain: ident.Domain(fmt.Sprintf("d%d", i)), Region: "r", Upstream: u.Address(),
 		Listen:    spec.SideListen{Callers: free(s.t), Beats: free(s.t), Ready: free(s.t), Peers: free(s.t)},
-		Store:     spec.SideStore{Address: s.store.Address(), Reads: 1000, Writes: 1000},
+		Store:     spec.SideStore{Address: s.store.Address()},
 		Heartbeat: time.Second, Grace: 3 * time.Second,
 		Budget:   spec.SideBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Exposure: spec.SideExposure{Share: 0.1, Slack: 50}, Cold: spec.SideCold{Overage: 1.5, Slack: 5},
-		Probes: 60, Memory: 128, Log: spec.Info,
+		Probes: 60, Log: spec.Info,
 	}}
 	s.start(n)
 	s.announce(n)
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -36,12 +36,9 @@
 	n.counter("store." + name + "." + strconv.Itoa(status)).Inc(1)
 }
 
-// Dropped counts log lines that were dropped. The log that has dropped them
+// dropped counts log lines that were dropped. The log that has dropped them
 // holds its lock, so that the event is emitted by another goroutine.
-func (n *Node) Dropped(lines int) {
-	if n == nil {
-		return
-	}
+func (n *Node) dropped(lines int) {
 	n.counter("log.dropped").Inc(int64(lines))
 	go n.log.Emit(event.LinesDropped, event.F(event.Count, lines))
 }
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -58,12 +58,11 @@
 	wait   sync.WaitGroup
 
 	mu   sync.Mutex
-	ctx  context.Context
 	runs map[ident.Service]*run
 }
 
 func newMoves(n *Node) *moves {
-	return &moves{n: n, status: n.store.Table(platform.StatusTable), ctx: context.Background(), runs: map[ident.Service]*run{}}
+	return &moves{n: n, status: n.store.Table(platform.StatusTable), runs: map[ident.Service]*run{}}
 }
 
 // ordered takes the row of a move. A newer row replaces the move before it.
@@ -166,9 +165,6 @@
 	t := time.NewTicker(moveTick)
 	defer t.Stop()
 	defer v.wait.Wait()
-	v.mu.Lock()
-	v.ctx = ctx
-	v.mu.Unlock()
 	ready()
 	for {
 		select {
@@ -176,7 +172,9 @@
 			return ctx.Err()
 		case <-t.C:
 			for s, r := range v.open() {
-				v.tick(ctx, s, r)
+				if v.tick(ctx, s, r) {
+					v.alarm(ctx, r)
+				}
 				v.exchange(ctx, s, r)
 			}
 		}
@@ -196,15 +194,15 @@
 	return out
 }
 
-// tick reports what has changed and writes the status when it is this node's turn.
-func (v *moves) tick(ctx context.Context, s ident.Service, r *run) {
+// tick logs what has changed and writes the status when it is this node's turn.
+// It reports whether a fault has become known.
+func (v *moves) tick(ctx context.Context, s ident.Service, r *run) (fault bool) {
 	turn := v.turn(s)
 	now := time.Now()
-	defer v.alarm(ctx, r)()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if r.brief.Fault() != "" && !r.fault {
-		r.fault = true
+		r.fault, fault = true, true
 		v.n.log.Emit(event.MoveFault, event.F(event.Service, s), event.F(event.Version, r.order.To),
 			event.F(event.Reason, r.brief.Fault()), event.F(event.Elapsed, r.brief.Age(now)))
 	}
@@ -223,7 +221,7 @@
 		r.since = now
 	}
 	if r.busy || now.Before(r.again) || now.Sub(r.since) < time.Duration(turn)*writeTurn || (want == move.Open && r.told != "") {
-		return
+		return fault
 	}
 	r.busy = true
 	v.wait.Add(1)
@@ -231,6 +229,7 @@
 		defer v.wait.Done()
 		v.write(ctx, s, r, want)
 	}()
+	return fault
 }
 
 // turn returns how many nodes come before this one in writing the status of a
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -273,7 +273,7 @@
 	o.mu.Lock()
 	revision := o.wanted
 	o.mu.Unlock()
-	address, ok := o.n.roster.random("")
+	address, ok := o.n.roster.random()
 	if !ok {
 		mono.Sleep(ctx, retryLeast)
 		return
--- a/internal/fleet/reload.go
+++ b/internal/fleet/reload.go
@@ -11,9 +11,9 @@
 // without a signal.
 const settingsTick = 2 * time.Second
 
-// watchSettings reads the settings again at a signal and now and then. What a
-// running node can take over are the places of other nodes; all else holds from
-// the next start.
+// watchSettings reads the settings again at a signal and now and then, and logs
+// whether they can be used. A running node takes nothing over: changed settings
+// hold from the next start.
 func (n *Node) watchSettings(ctx context.Context, ready func(), reload <-chan struct{}) error {
 	ready()
 	t := time.NewTicker(settingsTick)
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -57,16 +57,19 @@
 	shell atomic.Pointer[gossip.Shell]
 	stale chan struct{}
 
-	mu      sync.Mutex
-	records map[ident.Node]member.Record
+	book *gossip.Book
+
+	mu sync.Mutex
+	// counts are the members by service and version; nil after a change.
+	counts map[ident.Service]map[ident.Version]int
 }
 
 func newRoster(n *Node) *roster {
 	return &roster{
-		n:       n,
-		table:   n.store.Table(platform.OwnTable),
-		stale:   make(chan struct{}, 1),
-		records: map[ident.Node]member.Record{},
+		n:     n,
+		table: n.store.Table(platform.OwnTable),
+		stale: make(chan struct{}, 1),
+		book:  gossip.NewBook(n.settings.Node),
 	}
 }
 
@@ -148,7 +151,7 @@
 		}
 		r.update()
 		r.n.entry.Update(r.targets())
-		addresses := r.addresses()
+		addresses := r.book.Addresses()
 		r.n.pool.Forget(addresses)
 		r.n.share(len(addresses))
 		select {
@@ -173,10 +176,10 @@
 
 // notify is called by the machine, under the shell's lock.
 func (r *roster) notify(c member.Record) {
+	old, seen := r.book.Put(c)
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	old, seen := r.records[c.Node]
-	r.records[c.Node] = c
+	r.counts = nil
+	r.mu.Unlock()
 	if c.Node != r.n.settings.Node {
 		r.report(old, c, seen)
 	}
@@ -210,11 +213,6 @@
 	}
 }
 
-// lost reports whether a member isn't expected to answer.
-func lost(c member.Record) bool {
-	return c.State == member.Unreachable || c.State == member.Left
-}
-
 func stateOf(c member.Record) choose.State {
 	switch {
 	case c.State == member.Leaving || !c.Ready:
@@ -228,11 +226,9 @@
 
 // targets lists the members that have an upstream and may be reached.
 func (r *roster) targets() []entry.Target {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]entry.Target, 0, len(r.records))
-	for _, c := range r.records {
-		if c.Service == "" || lost(c) {
+	var out []entry.Target
+	for _, c := range r.book.Expected() {
+		if c.Service == "" {
 			continue
 		}
 		out = append(out, entry.Target{
@@ -252,48 +248,43 @@
 	return out
 }
 
-// addresses lists the members that connections are kept to.
-func (r *roster) addresses() map[string]bool {
+// versions counts the members of a service by version, with an upstream that
+// takes requests. The result must not be changed. It is asked for with each
+// request of a service that has moved, so that it is counted once per change.
+func (r *roster) versions(s ident.Service) map[ident.Version]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[string]bool, len(r.records))
-	for _, c := range r.records {
-		if !lost(c) {
-			out[c.RPC] = true
-		}
+	if r.counts == nil {
+		r.counts = r.count()
 	}
-	return out
+	return r.counts[s]
 }
 
-// versions counts the members of a service by version, with an upstream that
-// takes requests.
-func (r *roster) versions(s ident.Service) map[ident.Version]int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := map[ident.Version]int{}
-	for _, c := range r.records {
-		if c.Service == s && !lost(c) && c.Ready && c.State != member.Leaving {
-			out[c.Version]++
+func (r *roster) count() map[ident.Service]map[ident.Version]int {
+	out := map[ident.Service]map[ident.Version]int{}
+	for _, c := range r.book.Expected() {
+		if !c.Ready || c.State == member.Leaving {
+			continue
+		}
+		if out[c.Service] == nil {
+			out[c.Service] = map[ident.Version]int{}
 		}
+		out[c.Service][c.Version]++
 	}
 	return out
 }
 
 // address returns where a member is reached.
 func (r *roster) address(n ident.Node) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c, ok := r.records[n]
+	c, ok := r.book.Get(n)
 	return c.RPC, ok
 }
 
 // exits lists the addresses of the other members with a version of a service.
 func (r *roster) exits(s ident.Service, v ident.Version) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var out []string
-	for _, c := range r.records {
-		if c.Node != r.n.settings.Node && c.Service == s && c.Version == v && !lost(c) {
+	for _, c := range r.book.Expected() {
+		if c.Node != r.n.settings.Node && c.Service == s && c.Version == v {
 			out = append(out, c.RPC)
 		}
 	}
@@ -302,31 +293,19 @@
 
 // alive lists the members that are expected to answer, this node included.
 func (r *roster) alive() []ident.Node {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var out []ident.Node
-	for _, c := range r.records {
-		if !lost(c) && c.State != member.Leaving {
+	for _, c := range r.book.Expected() {
+		if c.State != member.Leaving {
 			out = append(out, c.Node)
 		}
 	}
 	return out
 }
 
-// random returns the address of another member of a service, or of any.
-func (r *roster) random(s ident.Service) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var others []string
-	for _, c := range r.records {
-		if c.Node != r.n.settings.Node && !lost(c) && (s == "" || c.Service == s) {
-			others = append(others, c.RPC)
-		}
-	}
-	if len(others) == 0 {
-		return "", false
-	}
-	return others[rand.IntN(len(others))], true
+// random returns the address of another member.
+func (r *roster) random() (string, bool) {
+	c, ok := r.book.Random("", rand.IntN)
+	return c.RPC, ok
 }
 
 // leave announces that this node takes no new work.
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -50,24 +50,10 @@
 	}
 }
 
-// alarm returns a function that tells all exits of the new version at once if
-// a fault has become known since.
-func (v *moves) alarm(ctx context.Context, r *run) func() {
-	v.mu.Lock()
-	known := r.fault
-	v.mu.Unlock()
-	return func() {
-		// The caller holds the lock again.
-		if known || !r.fault {
-			return
-		}
-		for _, address := range v.n.roster.exits(r.order.Service, r.order.To) {
-			v.wait.Add(1)
-			go func() {
-				defer v.wait.Done()
-				v.trade(ctx, r, address, false)
-			}()
-		}
+// alarm tells all exits of the new version at once of a fault.
+func (v *moves) alarm(ctx context.Context, r *run) {
+	for _, address := range v.n.roster.exits(r.order.Service, r.order.To) {
+		v.trade(ctx, r, address, false)
 	}
 }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -279,23 +279,11 @@
 		}
 	default:
 		a.Outcome = wirepb.Outcome_OUTCOME_UNKNOWN
-		a.Reason = brokenBy(ctx)
+		a.Reason = exit.BrokenBy(ctx)
 	}
 	return a
 }
 
-// brokenBy tells why a request ended without a whole answer.
-func brokenBy(ctx context.Context) wirepb.Reason {
-	switch ctx.Err() {
-	case nil:
-		return wirepb.Reason_REASON_BROKEN
-	case context.Canceled:
-		return wirepb.Reason_REASON_ABORTED
-	default:
-		return wirepb.Reason_REASON_LATE
-	}
-}
-
 // lost withdraws an upstream that takes no connections or isn't there any
 // more. A heartbeat or a health check brings it back.
 func (u *upstream) lost(x exit.Upstream, found string) {
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -171,7 +171,7 @@
 
 // fetchPeer is called with the lock held and asks one random member.
 func (c *conf) fetchPeer(f config.Fetch) {
-	address, ok := c.n.roster.random()
+	address, ok := c.n.roster.random("")
 	if !ok {
 		return
 	}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -30,14 +30,15 @@
 	// stale asks the loop to bring machine, entry and exit up to date.
 	stale chan struct{}
 
-	mu      sync.Mutex
-	records map[ident.Node]member.Record
+	book *gossip.Book
+
+	mu sync.Mutex
 	// born is when the present start of a member was first seen.
 	born map[ident.Node]time.Time
 }
 
 func newRoster(n *Node) *roster {
-	return &roster{n: n, stale: make(chan struct{}, 1), records: map[ident.Node]member.Record{}, born: map[ident.Node]time.Time{}}
+	return &roster{n: n, stale: make(chan struct{}, 1), book: gossip.NewBook(n.settings.Node), born: map[ident.Node]time.Time{}}
 }
 
 // Run takes part in the membership protocol until ctx ends.
@@ -144,15 +145,14 @@
 func (r *roster) notify(c member.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old, seen := r.records[c.Node]
-	r.records[c.Node] = c
+	old, seen := r.book.Put(c)
 	if !seen || old.Start != c.Start || (c.Ready && !old.Ready) {
 		r.born[c.Node] = time.Now()
 	}
 	if c.Node != r.n.settings.Node {
 		r.report(old, c, seen)
 	}
-	if seen && (lost(c) || old.Start != c.Start) {
+	if seen && (c.State.Lost() || old.Start != c.Start) {
 		r.n.works.gone(old)
 	}
 	// The revision of a member changes with every manifest and doesn't concern
@@ -190,31 +190,18 @@
 func (r *roster) publish() {
 	targets := r.targets()
 	homes := r.n.entry.Update(targets)
-	r.n.pool.Forget(r.addresses())
+	r.n.pool.Forget(r.book.Addresses())
 	r.n.exit.SetMembers(homes[r.n.exit.Upstream().Service])
 }
 
-// addresses lists the members that connections are kept to.
-func (r *roster) addresses() map[string]bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make(map[string]bool, len(r.records))
-	for _, c := range r.records {
-		if !lost(c) {
-			out[c.RPC] = true
-		}
-	}
-	return out
-}
-
 // targets lists the members that have an upstream and may be reached.
 func (r *roster) targets() []entry.Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	out := make([]entry.Target, 0, len(r.records))
-	for _, c := range r.records {
-		if c.Service == "" || lost(c) {
+	var out []entry.Target
+	for _, c := range r.book.Expected() {
+		if c.Service == "" {
 			continue
 		}
 		out = append(out, entry.Target{
@@ -234,11 +221,6 @@
 	return out
 }
 
-// lost reports whether a member isn't expected to answer.
-func lost(c member.Record) bool {
-	return c.State == member.Unreachable || c.State == member.Left
-}
-
 // coldTime is how long a new member counts as cold. Its answers tell more
 // long before; without any it must not be taken for idle.
 const coldTime = 30 * time.Second
@@ -266,31 +248,14 @@
 
 // size returns the number of members that are expected to answer.
 func (r *roster) size() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := 0
-	for _, c := range r.records {
-		if !lost(c) {
-			n++
-		}
-	}
-	return n
+	return len(r.book.Expected())
 }
 
-// random returns the address of another member that should answer.
-func (r *roster) random() (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var others []string
-	for _, c := range r.records {
-		if c.Node != r.n.settings.Node && !lost(c) {
-			others = append(others, c.RPC)
-		}
-	}
-	if len(others) == 0 {
-		return "", false
-	}
-	return others[rand.IntN(len(others))], true
+// random returns the address of another member that should answer, of a
+// service or, if that is empty, of any.
+func (r *roster) random(s ident.Service) (string, bool) {
+	c, ok := r.book.Random(s, rand.IntN)
+	return c.RPC, ok
 }
 
 // call carries one anti-entropy message.
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,7 +28,7 @@
 		if !r.follows(own, now) || r.mover.Outcome() != move.Open || now.Before(r.plan.Start) {
 			continue
 		}
-		address, ok := v.n.roster.randomOf(r.plan.Service)
+		address, ok := v.n.roster.random(r.plan.Service)
 		if !ok {
 			continue
 		}
@@ -180,19 +179,3 @@
 	}
 	return out
 }
-
-// randomOf returns the address of another member of a service.
-func (r *roster) randomOf(s ident.Service) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var others []string
-	for _, c := range r.records {
-		if c.Node != r.n.settings.Node && c.Service == s && !lost(c) {
-			others = append(others, c.RPC)
-		}
-	}
-	if len(others) == 0 {
-		return "", false
-	}
-	return others[rand.IntN(len(others))], true
-}
--- a/internal/node/works.go
+++ b/internal/node/works.go
@@ -103,7 +103,7 @@
 func (w *works) hand(ctx context.Context, s work.Snapshot, now time.Time) {
 	_ = w.keeper.Keep(s, now)
 	if w.peer == "" {
-		w.peer, _ = w.n.roster.random()
+		w.peer, _ = w.n.roster.random("")
 	}
 	if w.peer == "" {
 		return
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/samber/oops"
 
+	"github.com/cicadahall/cicadahall/internal/conns"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
@@ -77,18 +78,8 @@
 	}
 }
 
-// dial opens a connection that is reset when it is closed: what a connection
-// that was given up still holds must not arrive later.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialLimit}
-	c, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	return c, nil
+	return conns.Dial(ctx, network, address, dialLimit)
 }
 
 // left is the time until a deadline on the clock of this process. Deadlines
--- a/internal/spec/side.go
+++ b/internal/spec/side.go
@@ -16,14 +16,13 @@
 	Upstream  string        `json:"upstream" spec:"form=address" doc:"Address of the upstream beside the node."`
 	Listen    SideListen    `json:"listen" doc:"Addresses that the node listens on."`
 	Store     SideStore     `json:"store" doc:"The platform's store."`
-	Seeds     []string      `json:"seeds" spec:"optional,max=64" doc:"Addresses of other nodes' heartbeat listeners."`
+	Seeds     []string      `json:"seeds" spec:"optional,max=64" doc:"Addresses of other nodes' heartbeat listeners. Nodes find each other through the store; the number of seeds is logged only."`
 	Heartbeat time.Duration `json:"heartbeat" spec:"default=1500ms,min=10ms,max=1m" doc:"Time between two heartbeats of the upstream."`
 	Grace     time.Duration `json:"grace" spec:"default=6s,min=1s,max=10m" doc:"Time from SIGTERM to SIGKILL."`
 	Budget    SideBudget    `json:"budget" spec:"optional" doc:"Bound of repeated requests over all nodes."`
 	Exposure  SideExposure  `json:"exposure" spec:"optional" doc:"Bound of requests to a new version that may be bad, over all nodes."`
 	Cold      SideCold      `json:"cold" spec:"optional" doc:"Bound of requests to a cold upstream."`
 	Probes    float64       `json:"probes" spec:"default=60,min=0,max=1000" doc:"Most health checks of an upstream a second."`
-	Memory    int           `json:"memory" spec:"default=128,min=16,max=1048576" doc:"Memory limit of the process in MB."`
 	Log       Level         `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events in the log."`
 }
 
@@ -38,9 +37,7 @@
 
 // SideStore is the platform's store.
 type SideStore struct {
-	Address string  `json:"address" spec:"form=address" doc:"Host and port."`
-	Reads   float64 `json:"reads" spec:"default=2000,min=1,max=1000000" doc:"Reading calls a second of all nodes together."`
-	Writes  float64 `json:"writes" spec:"default=400,min=1,max=1000000" doc:"Writing calls a second of all nodes together."`
+	Address string `json:"address" spec:"form=address" doc:"Host and port."`
 }
 
 // SideBudget bounds the requests that are sent to more than one upstream.
--- a/member/apply.go
+++ b/member/apply.go
@@ -37,7 +37,7 @@
 		}
 		return
 	}
-	if sameRun(r, p.record) && r.State.lost() && p.record.State == Alive && !m.faulty() {
+	if sameRun(r, p.record) && r.State.Lost() && p.record.State == Alive && !m.faulty() {
 		m.doubt(p)
 		return
 	}
@@ -92,7 +92,7 @@
 func (m *Machine) change(p *peer, r Record, now time.Time) {
 	was := p.record.State
 	m.rehash(p, r)
-	if was.lost() != r.State.lost() || p.index < 0 {
+	if was.Lost() != r.State.Lost() || p.index < 0 {
 		m.unlist(p, was)
 		m.enlist(p)
 	}
@@ -125,7 +125,7 @@
 }
 
 func (m *Machine) list(s State) *[]*peer {
-	if s.lost() {
+	if s.Lost() {
 		return &m.lost
 	}
 	return &m.active
--- a/member/receive.go
+++ b/member/receive.go
@@ -86,7 +86,7 @@
 	if told {
 		out.Records = append(out.Records, m.me.record)
 	}
-	if s, ok := m.peers[p.Source]; ok && (s.record.State == Suspect || s.record.State.lost()) {
+	if s, ok := m.peers[p.Source]; ok && (s.record.State == Suspect || s.record.State.Lost()) {
 		out.Records = append(out.Records, s.record.bare())
 	}
 	for _, r := range p.Records {
--- a/member/record.go
+++ b/member/record.go
@@ -45,8 +45,8 @@
 	return stateNames[0]
 }
 
-// lost tells whether the member is no longer expected to answer.
-func (s State) lost() bool { return s == Unreachable || s == Left }
+// Lost tells whether the member is no longer expected to answer.
+func (s State) Lost() bool { return s == Unreachable || s == Left }
 
 // settled is the state that anti-entropy compares. Suspicions pass within
 // seconds by themselves and would make nearly equal states differ.
--- a/member/tick.go
+++ b/member/tick.go
@@ -163,7 +163,7 @@
 		p := m.doubts[0]
 		m.doubts = m.doubts[1:]
 		p.doubted = false
-		if !p.record.State.lost() {
+		if !p.record.State.Lost() {
 			return p
 		}
 	}
@@ -183,7 +183,7 @@
 // ping probes a member and tells it of a claim that it may have to refute.
 func (m *Machine) ping(p *peer, sequence uint64) {
 	out := Packet{Kind: Ping, Sequence: sequence, Target: p.record.Node}
-	if p.record.State == Suspect || p.record.State.lost() {
+	if p.record.State == Suspect || p.record.State.Lost() {
 		out.Records = append(out.Records, p.record.bare())
 	}
 	m.send(p.record.UDP, out)
@@ -234,7 +234,7 @@
 	p := m.probe.peer
 	m.result(false)
 	m.alone = m.probe.relays == 0 && m.probe.asked >= relaysLeast
-	if !sameRun(p.record, m.probe.record) || p.record.State.lost() {
+	if !sameRun(p.record, m.probe.record) || p.record.State.Lost() {
 		return
 	}
 	switch {
--- a/move/brief.go
+++ b/move/brief.go
@@ -174,13 +174,8 @@
 
 func (b *Brief) own() *row { return b.rows[owner{b.o.Node, b.o.Start}] }
 
-// Counters returns what this node has counted, and Merge takes that of others.
-func (b *Brief) Counters() ([]byte, error) {
-	return json.Marshal(b.own().tally)
-}
-
-// Merge takes the counters of a node's start. They replace older ones, which
-// are lower. Judge looks at the result.
+// Merge takes the counters of a node's start, as Rows gives them. They replace
+// older ones, which are lower. Judge looks at the result.
 func (b *Brief) Merge(n ident.Node, s ident.Start, counters []byte) error {
 	if n == b.o.Node && s == b.o.Start {
 		return nil
--- a/move/brief_test.go
+++ b/move/brief_test.go
@@ -181,9 +181,7 @@
 		var copies [][]byte
 		for range rapid.IntRange(1, 8).Draw(t, "steps") {
 			source.Sent("r", rapid.Bool().Draw(t, "fresh"))
-			c, err := source.Counters()
-			assert.NilError(t, err)
-			copies = append(copies, c)
+			source.Rows(0, everyone, func(_ ident.Node, _ ident.Start, c []byte) { copies = append(copies, c) })
 		}
 		last := copies[len(copies)-1]
 		shuffled := rapid.Permutation(copies).Draw(t, "order")
--- a/route/route.go
+++ b/route/route.go
@@ -48,20 +48,14 @@
 	Name ident.Service
 	// Health is the path of the health check.
 	Health string
-	// Connections bounds the open connections to one upstream.
-	Connections int
 	// ColdRate is the number of requests a second that a cold upstream bears.
 	ColdRate float64
-	// Cold is how long an upstream stays cold after its start.
-	Cold time.Duration
 }
 
-// Limits bound what callers may send and how long they may stay idle.
+// Limits bound what callers may send.
 type Limits struct {
-	Header      int
-	Body        int
-	HeaderLimit time.Duration
-	Idle        time.Duration
+	// Body is the largest body in bytes.
+	Body int
 }
 
 // Table is one configuration.
