Judge latencies also against what was usual before the window

Cause of the known failure (canary TestMoves -moves=48, requests on a slow version until 2.74 s after its fault showed): a trace of the merged counters shows windows of 250 ms in which the old version got 1 of 10 requests. The quantile of such a window lies within the slow answers of the new version, so that 6 of its 9 answers count as slow where all 9 are, and the evidence grows by 2.5 where it should grow by 10. Ruled out: late evidence (answers end after at most 0.5 s and gossip brings them within two steps) and the cap of one window's ratio, which this seed never reached.

Two of the six components of the latency test now use the 0.9 quantile of the old version's latencies in the 16 windows before. A threshold that depends on the past only keeps the test a martingale, so that the bound on false alarms holds.

The seed is kept in TestLateSeeds, which fails without the change.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -75,6 +75,22 @@
 	assert.NilError(t, canary.Write(os.Stdout, canary.Threshold, rate, base))
 }
 
+// lateSeeds are moves in which a late fault once got requests for more than 2 s.
+var lateSeeds = []canary.Setup{
+	// The old version got 1 of 10 requests in the windows after the fault, and
+	// a quantile of such a window lies within the slow answers of the new one.
+	{Kind: canary.LateSlow, Seed: 20261246, Rate: rate, Length: length},
+}
+
+// Guards against late faults that last (P4), on the moves where one did.
+func TestLateSeeds(t *testing.T) {
+	for _, s := range lateSeeds {
+		r := canary.Run(s, canary.Mover)
+		assert.Check(t, r.Shown && r.Stopped, "seed %d", s.Seed)
+		assert.Check(t, r.Late == 0, "seed %d: requests until %v after the fault showed", s.Seed, r.Clear)
+	}
+}
+
 // Reports the time to stop a late fault as a function of the rate, and guards
 // against a fault that is missed at a low one.
 func TestRates(t *testing.T) {
--- a/move/counts.go
+++ b/move/counts.go
@@ -97,6 +97,15 @@
 	return n
 }
 
+// above counts the latencies from a bucket on.
+func (c *counts) above(bucket int) int {
+	n := 0
+	for _, b := range c.buckets[bucket:] {
+		n += int(b)
+	}
+	return n
+}
+
 func (c *counts) requests() int {
 	return int(c.errors) + c.served()
 }
--- a/move/judge.go
+++ b/move/judge.go
@@ -44,13 +44,24 @@
 func (m *Mover) refresh(k scale) {
 	for _, s := range m.stale[k] {
 		if t := m.tables[s]; t != nil {
-			t.ratios = [kinds]ratios{errorGains(t).ratios(), latencyGains(t).ratios()}
+			t.ratios = [kinds]ratios{errorGains(t).ratios(), latencyGains(t, m.usually(s)).ratios()}
 			t.stale = false
 		}
 	}
 	m.stale[k] = m.stale[k][:0]
 }
 
+// usually sums up the old version's latencies in the windows before one.
+func (m *Mover) usually(s span) *counts {
+	sum := &counts{}
+	for w := max(0, int(s.window)-usualWindows); w < int(s.window); w++ {
+		if t := m.tables[span{s.scale, s.route, uint32(w)}]; t != nil {
+			sum.sum(&t.cohorts[old])
+		}
+	}
+	return sum
+}
+
 // budget returns the part of falseRate for one test. The tests of all routes
 // together take half of it, because a fault of every route must be found
 // fastest; the single routes share the other half equally (Bonferroni).
--- a/move/machine_test.go
+++ b/move/machine_test.go
@@ -203,6 +203,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		node := rapid.IntRange(0, nodes-1)
+		// Random histories rarely serve well for most of the move; without those
+		// that begin so, some seeds never reach "done".
+		if rapid.IntRange(0, 3).Draw(t, "calm") == 0 {
+			for range 3 {
+				w.good(node.Draw(t, "node"))
+			}
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"good":    func(t *rapid.T) { w.good(node.Draw(t, "node")) },
 			"bad":     func(t *rapid.T) { w.serve(node.Draw(t, "node"), 20, true) },
@@ -223,6 +230,7 @@
 			reverted++
 		}
 	})
+	t.Logf("%d done and %d reverted", done, reverted)
 	assert.Assert(t, done > 0 && reverted > 0, "%d done and %d reverted: a case wasn't reached", done, reverted)
 }
 
--- a/move/sequential.go
+++ b/move/sequential.go
@@ -49,17 +49,41 @@
 // twice the failures to a version that fails nearly always.
 var alternatives = [gainsCount]float64{3, 6, 12, 30, 100, 1000}
 
-// component is one pair of a pooled quantile and an odds ratio.
+// component is a threshold on latencies and an odds ratio. The threshold is a
+// quantile of both cohorts in the window or, if usual is set, of the old
+// version in the windows before.
 type component struct {
 	quantile float64
+	usual    bool
 	odds     float64
 }
 
-// components are what the latency test mixes over. The quantile is that of
-// both cohorts together; the share of the old version separates best when the
-// new one is much slower, which is controlShare at the end, a high quantile
-// at the begin.
-var components = [gainsCount]component{{0.4, 30}, {0.4, 300}, {0.5, 4}, {0.5, 30}, {0.9, 4}, {0.9, 30}}
+// components are what the latency test mixes over. A threshold that the window
+// itself doesn't move keeps its evidence when one cohort has a few requests
+// only; a quantile of the window also works at the begin of a move and
+// separates best when the new version is a little slower.
+var components = [gainsCount]component{
+	{usualQuantile, true, 30},
+	{usualQuantile, true, 300},
+	{0.5, false, 4},
+	{0.5, false, 30},
+	{0.9, false, 4},
+	{0.9, false, 30},
+}
+
+const (
+	// usualQuantile of the old version's latencies is exceeded by nearly all
+	// answers of a version that is several times slower.
+	usualQuantile = 0.9
+	// usualWindows is the number of windows before one that tell what is usual;
+	// in fine windows they are 4 s.
+	usualWindows = 16
+	// usualLeast is the least number of latencies that tell what is usual, and
+	// startQuantile of the window replaces it before; it separates best at the
+	// largest share of the new version.
+	usualLeast    = 16
+	startQuantile = 0.4
+)
 
 // gains are the logarithms of the likelihood ratios of one window.
 type gains [gainsCount]float64
@@ -74,37 +98,52 @@
 	return g
 }
 
-// latencyGains returns the evidence in the latencies of one window.
-func latencyGains(t *table) (g gains) {
+// latencyGains returns the evidence in the latencies of one window. Usually
+// counts the old version's latencies before; the threshold that it gives
+// depends on the past only, so that the test stays a martingale.
+func latencyGains(t *table, usually *counts) (g gains) {
 	o, f := &t.cohorts[old], &t.cohorts[fresh]
 	no, nf := o.served(), f.served()
 	if no == 0 || nf == 0 || no+nf < latencyLeast {
 		return g
 	}
 	var s split
-	last := -1.0
+	last := -1
 	for i, c := range components {
-		if c.quantile != last {
-			eo, ef := above(o, f, c.quantile, no+nf)
-			s = newSplit(no, nf, eo, ef)
-			last = c.quantile
+		from := 0
+		switch {
+		case !c.usual:
+			from = quantile(c.quantile, o, f)
+		case usually.served() >= usualLeast:
+			from = quantile(c.quantile, usually)
+		default:
+			from = quantile(startQuantile, o, f)
+		}
+		if from != last {
+			s = newSplit(no, nf, o.above(from), f.above(from))
+			last = from
 		}
 		g[i] = s.gain(c.odds)
 	}
 	return g
 }
 
-// above counts the latencies of each cohort above the pooled quantile q.
-func above(o, f *counts, q float64, n int) (eo, ef int) {
+// quantile returns the first bucket above the quantile q of all counts together.
+func quantile(q float64, all ...*counts) int {
+	n := 0
+	for _, c := range all {
+		n += c.served()
+	}
 	below := 0
-	for i := range o.buckets {
+	for i := range bucketCount {
 		if float64(below) >= q*float64(n) {
-			eo += int(o.buckets[i])
-			ef += int(f.buckets[i])
+			return i
+		}
+		for _, c := range all {
+			below += int(c.buckets[i])
 		}
-		below += int(o.buckets[i]) + int(f.buckets[i])
 	}
-	return eo, ef
+	return bucketCount
 }
 
 // split is a two-by-two table with the logarithms of its hypergeometric
