Let a few watchers follow the store for all nodes

Ruled out: longer polls alone; the calls of the polls are the smaller part, those at changes and starts the larger one.

One node of each 16 of a failure domain asks the store every 2 s and sends beats of about 60 bytes to its listeners every 400 ms (package watch, a pure machine). A node without a beat for 1.2 to 1.5 s asks itself, so that losing all watchers at once still leaves time to have a change in force within 2 s. The head travels with beats and gossip; a node fetches orders from the node that told it. At a start the own row is written without reading it first, and the rows are read once.

TestFewFollowTheStore fails on the code before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,7 @@
 	pool     *peer.Pool
 	roster   *roster
 	orders   *orders
+	watch    *watcher
 	moves    *moves
 	upstream *upstream
 	front    *front
@@ -98,6 +99,7 @@
 	n.log = event.New(event.Options{Node: o.Settings.Node, Start: n.start, Level: level, Output: event.Output(n.lines), Size: ringSize})
 	n.store = platform.NewStore(o.Settings.Store.Address, n.countStore)
 	n.moves = newMoves(n)
+	n.watch = newWatcher(n)
 	n.orders = newOrders(n)
 	n.roster = newRoster(n)
 	n.upstream = newUpstream(n)
@@ -215,6 +217,7 @@
 		event.F(event.Address, n.settings.Listen.Peers))
 	children := []super.Child{
 		{Name: "members", Run: n.roster.Run},
+		{Name: "watch", Run: n.watch.Run},
 		{Name: "orders", Run: n.orders.Run},
 		{Name: "moves", Run: n.moves.Run},
 		{Name: "upstream", Run: n.upstream.Run},
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -29,6 +29,8 @@
 	store *fake.Store
 	nodes []*node
 	next  atomic.Int64
+	// domains is the number of failure domains that the nodes are spread over.
+	domains int
 }
 
 type node struct {
@@ -52,7 +54,11 @@
 // newSystem starts nodes with one upstream each and waits until all of them
 // know each other.
 func newSystem(t *testing.T, size int, work http.HandlerFunc) *system {
-	s := &system{t: t, store: fake.NewStore()}
+	return newSystemOf(t, size, size, work)
+}
+
+func newSystemOf(t *testing.T, domains, size int, work http.HandlerFunc) *system {
+	s := &system{t: t, store: fake.NewStore(), domains: domains}
 	s.store.Put("op", "config", configuration(1, ""))
 	for i := range size {
 		s.add(i, "v1", work)
@@ -84,7 +90,7 @@
 	u := fake.NewUpstream(fmt.Sprintf("i-%d", i), work)
 	n := &node{upstream: u, service: "counter", version: version, settings: &spec.Side{
 		Node: ident.Node(fmt.Sprintf("n%d", i)), Service: "counter",
-		Domain: ident.Domain(fmt.Sprintf("d%d", i)), Region: "r", Upstream: u.Address(),
+		Domain: ident.Domain(fmt.Sprintf("d%d", i%s.domains)), Region: "r", Upstream: u.Address(),
 		Listen:    spec.SideListen{Callers: free(s.t), Beats: free(s.t), Ready: free(s.t), Peers: free(s.t)},
 		Store:     spec.SideStore{Address: s.store.Address()},
 		Heartbeat: time.Second, Grace: 3 * time.Second,
@@ -168,15 +174,16 @@
 	return result{id: id, status: a.StatusCode, body: string(b), retry: a.Header.Get("Retry-After")}
 }
 
-// reaches returns the number of upstreams that 12 requests at once through a
-// node have run on. Each upstream has 4 slots.
+// reaches returns the number of upstreams that requests at once through a node
+// have run on. Each upstream has 4 slots, and those of the node's own domain
+// are used first.
 func (s *system) reaches(n *node) int {
 	var w sync.WaitGroup
 	before := map[*node]int{}
 	for _, m := range s.nodes {
 		before[m] = m.upstream.Total()
 	}
-	for range 12 {
+	for range max(12, 4*len(s.nodes)) {
 		w.Go(func() { s.send(n, http.MethodGet, "/read/x") })
 	}
 	w.Wait()
@@ -318,6 +325,30 @@
 	s.await("the domain serves again", func() bool { return s.reaches(s.nodes[1]) == 3 })
 }
 
+// Guards against calls to the store that grow with the number of nodes, and
+// against nodes that miss a change because others follow the store for them,
+// also after one of those has stopped.
+func TestFewFollowTheStore(t *testing.T) {
+	const domains = 2
+	s := newSystemOf(t, domains, 6, slowly)
+	s.await("one node of each domain follows", func() bool { return s.store.Following() == domains })
+	extra := `,{"name":"more","kind":"safe","match":{"prefix":"/more%d/"},"action":{"service":"counter","max_attempts":2}}`
+	for i, n := range s.nodes[:3] {
+		before := s.store.Calls()
+		s.store.Put("op", "config", configuration(7+i, fmt.Sprintf(extra, i)))
+		for _, m := range s.nodes[i:] {
+			s.await("the new route is in force", func() bool {
+				return s.send(m, http.MethodGet, fmt.Sprintf("/more%d/", i)).status == http.StatusOK
+			})
+		}
+		t.Logf("%d calls for a change", s.store.Calls()-before)
+		n.stop()
+		assert.NilError(t, <-n.ended)
+		n.ended <- nil
+		s.await("others follow instead", func() bool { return s.store.Following() == domains })
+	}
+}
+
 // Guards against a planned stop that cuts requests: those in progress and those
 // that still come are served.
 func TestStopCutsNothing(t *testing.T) {
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -17,20 +16,19 @@
 	"github.com/cicadahall/cicadahall/platform"
 	"github.com/cicadahall/cicadahall/route"
 	"github.com/cicadahall/cicadahall/store"
+	"github.com/cicadahall/cicadahall/watch"
 )
 
 const (
-	// feedWait is how long one question to the feed may wait for a change.
-	feedWait = 20 * time.Second
 	// readLimit bounds one read; the store answers in 4 ms, and 100 times that
 	// while it is slow.
 	readLimit = 1500 * time.Millisecond
-	// retryLeast and retryMost bound the pause after a read without an answer.
-	// Changes have to be in force within 2 s.
-	retryLeast = 150 * time.Millisecond
-	retryMost  = time.Second
-	// peerLimit bounds one question to another node.
+	// askTick is how often a node that listens looks whether it has to ask.
+	askTick = 100 * time.Millisecond
+	// peerLimit bounds one question to another node, and peerPause separates
+	// two questions that brought nothing.
 	peerLimit = 500 * time.Millisecond
+	peerPause = 150 * time.Millisecond
 	// headDigest marks the heads of orders in gossip, which leaves out heads
 	// without a digest.
 	headDigest = "orders"
@@ -47,9 +45,10 @@
 	rows *rows
 	// domains are the evacuated failure domains.
 	domains map[ident.Domain]bool
-	// wanted is the newest version that gossip has told of, and fetching is set
-	// while other nodes are asked for it.
+	// wanted is the newest version that another node has told of, teller that
+	// node, and fetching is set while nodes are asked for it.
 	wanted   uint64
+	teller   ident.Node
 	fetching bool
 
 	current atomic.Pointer[route.Table]
@@ -83,7 +82,11 @@
 	ready()
 	f := &follower{o: o}
 	for ctx.Err() == nil {
-		f.step(ctx)
+		if o.n.watch.asks() {
+			f.step(ctx)
+		} else {
+			mono.Sleep(ctx, askTick)
+		}
 	}
 	return ctx.Err()
 }
@@ -93,11 +96,10 @@
 	o     *orders
 	after uint64
 	whole bool
-	pause time.Duration
 	down  time.Time
 }
 
-// step reads the whole table or what has changed, and pauses after a failure.
+// step reads the whole table or what has changed.
 func (f *follower) step(ctx context.Context) {
 	var c store.Changes
 	var r store.Result
@@ -106,7 +108,7 @@
 		c, r = f.o.feed.All(limited)
 		cancel()
 	} else {
-		c, r = f.o.feed.Next(ctx, f.after, feedWait)
+		c, r = f.o.feed.Next(ctx, f.after, watch.Wait)
 	}
 	if ctx.Err() != nil {
 		return
@@ -115,7 +117,7 @@
 		f.succeeded(c)
 		return
 	}
-	f.failed(ctx, r)
+	f.failed(r)
 }
 
 func (f *follower) succeeded(c store.Changes) {
@@ -123,7 +125,7 @@
 		f.o.n.log.Emit(event.StoreUp, event.F(event.Store, platform.OrderTable), event.F(event.Elapsed, time.Since(f.down)))
 		f.down = time.Time{}
 	}
-	f.pause = 0
+	f.o.n.watch.answered()
 	f.whole = true
 	// A stale read must not move the position back: what it lacks would be
 	// delivered again, which is harmless, but a position ahead would lose changes.
@@ -131,7 +133,7 @@
 	f.o.apply(c)
 }
 
-func (f *follower) failed(ctx context.Context, r store.Result) {
+func (f *follower) failed(r store.Result) {
 	f.whole = false
 	if r.Compacted {
 		return
@@ -140,8 +142,7 @@
 		f.down = time.Now()
 		f.o.n.log.Emit(event.StoreDown, event.F(event.Store, platform.OrderTable), event.F(event.Error, r.Err))
 	}
-	f.pause = min(retryMost, max(retryLeast, 2*f.pause))
-	mono.Sleep(ctx, f.pause/2+time.Duration(rand.Int64N(int64(f.pause))))
+	f.o.n.watch.failed()
 }
 
 // apply puts news in force.
@@ -238,12 +239,14 @@
 	return member.Head{Revision: ident.Revision(o.rows.newest), Digest: headDigest}
 }
 
-// heard takes a head from gossip; newer orders are fetched from other nodes,
-// which works also where this node can't reach the store.
-func (o *orders) heard(h member.Head) {
+// heard takes the head that another node has told; newer orders are fetched
+// from other nodes, which works also where this node can't reach the store.
+func (o *orders) heard(h member.Head, from ident.Node) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.wanted = max(o.wanted, uint64(h.Revision))
+	if v := uint64(h.Revision); v > o.wanted {
+		o.wanted, o.teller = v, from
+	}
 	if o.fetching || o.rows.newest >= o.wanted {
 		return
 	}
@@ -267,28 +270,32 @@
 	return o.fetching
 }
 
-// fetch asks one other node for its orders, and pauses if it has none to ask
-// or if that one doesn't have them either.
+// fetch asks the node that told of newer orders, or after that any other one,
+// and pauses if there is none to ask or if it doesn't have them either.
 func (o *orders) fetch(ctx context.Context) {
 	o.mu.Lock()
-	revision := o.wanted
+	revision, teller := o.wanted, o.teller
+	o.teller = ""
 	o.mu.Unlock()
-	address, ok := o.n.roster.random()
+	address, ok := o.n.roster.address(teller)
+	if !ok {
+		address, ok = o.n.roster.random()
+	}
 	if !ok {
-		mono.Sleep(ctx, retryLeast)
+		mono.Sleep(ctx, peerPause)
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
 	a, err := o.n.pool.Client(address).Body(limited, &wirepb.BodyRequest{Digest: strconv.FormatUint(revision, 10)})
 	if err != nil {
-		mono.Sleep(ctx, jitter(retryLeast))
+		mono.Sleep(ctx, jitter(peerPause))
 		return
 	}
 	c, err := decodeRows(a.GetBody())
 	if err != nil {
 		o.n.log.Emit(event.ManifestRejected, event.F(event.Peer, address), event.F(event.Error, err))
-		mono.Sleep(ctx, retryMost)
+		mono.Sleep(ctx, peerLimit)
 		return
 	}
 	o.apply(c)
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -19,6 +19,7 @@
 	"github.com/cicadahall/cicadahall/member"
 	"github.com/cicadahall/cicadahall/platform"
 	"github.com/cicadahall/cicadahall/store"
+	"github.com/cicadahall/cicadahall/watch"
 )
 
 const (
@@ -41,10 +42,9 @@
 	publishInterval = 20 * time.Millisecond
 	// joinPause is the mean pause between two attempts to write the own row.
 	joinPause = time.Second
-	// joinAgain is when the rows are read a second time, for nodes that
-	// started at the same moment.
-	joinAgain = 2 * time.Second
-	// joinRefresh is the mean time between two readings after that.
+	// joinAlone is the mean time between two readings of the rows while no other
+	// member is known, joinRefresh that while there is one.
+	joinAlone   = 2 * time.Second
 	joinRefresh = 10 * time.Minute
 	// joinPrefix precedes the node's name in the key of its row.
 	joinPrefix = "member/"
@@ -92,6 +92,7 @@
 			Rand:    rand.IntN,
 			Notify:  r.notify,
 			Heard:   r.n.orders.heard,
+			Beat:    func(ident.Node) { r.n.watch.heard() },
 		},
 	})
 	if err != nil {
@@ -150,6 +151,7 @@
 		case <-r.stale:
 		}
 		r.update()
+		r.n.watch.update(r.watchable())
 		r.n.entry.Update(r.targets())
 		addresses := r.book.Addresses()
 		r.n.pool.Forget(addresses)
@@ -167,8 +169,9 @@
 	head := r.n.orders.head()
 	r.with(func(m *member.Machine, now time.Time) {
 		m.Update(own, now)
-		if head.Revision > 0 {
+		if head.Revision > m.Head().Revision {
 			m.SetHead(head)
+			m.SendBeat(r.n.watch.listeners())
 		}
 		r.notify(m.Self())
 	})
@@ -248,6 +251,17 @@
 	return out
 }
 
+// watchable lists the members that may watch the store.
+func (r *roster) watchable() []watch.Member {
+	var out []watch.Member
+	for _, c := range r.book.Expected() {
+		if c.State == member.Alive {
+			out = append(out, watch.Member{Node: c.Node, Domain: c.Domain})
+		}
+	}
+	return out
+}
+
 // versions counts the members of a service by version, with an upstream that
 // takes requests. The result must not be changed. It is asked for with each
 // request of a service that has moved, so that it is counted once per change.
@@ -308,6 +322,11 @@
 	return c.RPC, ok
 }
 
+// beat sends the beats of a watcher.
+func (r *roster) beat(to []ident.Node) {
+	r.with(func(m *member.Machine, _ time.Time) { m.SendBeat(to) })
+}
+
 // leave announces that this node takes no new work.
 func (r *roster) leave() {
 	r.with(func(m *member.Machine, now time.Time) {
@@ -318,8 +337,7 @@
 
 // joinRow is how nodes find each other through the store.
 type joinRow struct {
-	UDP   string `json:"udp"`
-	Start uint64 `json:"start,string"`
+	UDP string `json:"udp"`
 }
 
 // join finds members through the rows of the store. Writing comes first: of
@@ -330,12 +348,13 @@
 		r.scan(ctx)
 		mono.Sleep(ctx, jitter(joinPause))
 	}
-	r.scan(ctx)
-	mono.Sleep(ctx, jitter(joinAgain))
 	for ctx.Err() == nil {
 		pause := joinRefresh
-		if !r.scan(ctx) {
+		switch {
+		case !r.scan(ctx):
 			pause = joinPause
+		case len(r.alive()) <= 1:
+			pause = joinAlone
 		}
 		mono.Sleep(ctx, jitter(pause))
 	}
@@ -370,14 +389,20 @@
 	return true
 }
 
+// writeRow writes the own row. At most starts it exists already and tells the
+// same, which the refused first write shows.
 func (r *roster) writeRow(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	key := joinPrefix + string(r.n.settings.Node)
-	value, err := json.Marshal(joinRow{UDP: r.n.settings.Listen.Peers, Start: uint64(r.n.start)})
+	value, err := json.Marshal(joinRow{UDP: r.n.settings.Listen.Peers})
 	if err != nil {
 		return false
 	}
+	res := r.table.Commit(limited, []store.Write{{Key: key, Value: value}})
+	if !res.Conflict {
+		return res.OK()
+	}
 	old, res := r.table.Get(limited, key)
 	if !res.OK() || string(old.Value) == string(value) {
 		return res.OK()
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -52,7 +52,7 @@
 			Began:  time.Now(),
 			Rand:   rand.IntN,
 			Notify: r.notify,
-			Heard:  func(h member.Head) { r.n.conf.offer(config.Head(h)) },
+			Heard:  func(h member.Head, _ ident.Node) { r.n.conf.offer(config.Head(h)) },
 			Fault:  r.n.moves.fault,
 		},
 	})
--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -161,7 +161,7 @@
 				h.Observe(r)
 			}
 		},
-		Heard: func(head member.Head) {
+		Heard: func(head member.Head, _ ident.Node) {
 			n.clock.after(n.Adopt, func() {
 				own := h.Machine.Self()
 				own.Revision = head.Revision
--- a/member/machine.go
+++ b/member/machine.go
@@ -53,8 +53,11 @@
 	Rand func(n int) int
 	// Notify reports a record that is new or changed.
 	Notify func(Record)
-	// Heard reports a configuration head that is higher than all before.
-	Heard func(Head)
+	// Heard reports a configuration head that is higher than all before, and
+	// the member that told it.
+	Heard func(h Head, from ident.Node)
+	// Beat reports a beat of a member that watches the store.
+	Beat func(from ident.Node)
 	// Fault reports a move fault that was not set before. It returns whether the
 	// latch is kept, which is false for a move that is not in the manifest.
 	Fault func(ident.Move) bool
@@ -83,7 +86,10 @@
 		o.Notify = func(Record) {}
 	}
 	if o.Heard == nil {
-		o.Heard = func(Head) {}
+		o.Heard = func(Head, ident.Node) {}
+	}
+	if o.Beat == nil {
+		o.Beat = func(ident.Node) {}
 	}
 	if o.Fault == nil {
 		o.Fault = func(ident.Move) bool { return true }
@@ -242,6 +248,15 @@
 	}
 }
 
+// SendBeat tells members that the store answers this node, and its head.
+func (m *Machine) SendBeat(to []ident.Node) {
+	for _, n := range to {
+		if p, ok := m.peers[n]; ok {
+			m.send(p.record.UDP, Packet{Kind: Beat, Head: m.head})
+		}
+	}
+}
+
 // SetFault latches the fault of a move and reports whether it is new.
 // ClearFaults is the only way back.
 func (m *Machine) SetFault(v ident.Move) bool {
--- a/member/packet.go
+++ b/member/packet.go
@@ -25,6 +25,8 @@
 	// Relayed tells the sender of an Indirect that the relay is at work. If no
 	// relay does, the sender itself is cut off.
 	Relayed
+	// Beat tells that the store answers the source; see package watch.
+	Beat
 )
 
 // Head is the accepted configuration that a node has heard of. A Head with
--- a/member/receive.go
+++ b/member/receive.go
@@ -44,6 +44,8 @@
 	case Join:
 		m.welcome(from, p)
 		return
+	case Beat:
+		m.options.Beat(p.Source)
 	}
 	if behind && m.tokens > -float64(m.options.Rate) {
 		m.send(from, Packet{Kind: Gossip, Head: m.head})
@@ -64,7 +66,7 @@
 	if p.Head.Revision > m.head.Revision && p.Head.Digest != "" {
 		m.head = p.Head
 		m.spreadNews()
-		m.options.Heard(p.Head)
+		m.options.Heard(p.Head, p.Source)
 	}
 	return p.Head.Revision < m.head.Revision
 }
