--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -42,8 +42,8 @@
 	publishInterval = 20 * time.Millisecond
 	// joinPause is the mean pause between two attempts to write the own row.
 	joinPause = time.Second
-	// joinAlone is the mean time between two readings of the rows while no other
-	// member is known, joinRefresh that while there is one.
+	// joinAlone is the mean time after which the rows are read again if no other
+	// member is known by then, joinRefresh that if there is one.
 	joinAlone   = 2 * time.Second
 	joinRefresh = 10 * time.Minute
 	// joinPrefix precedes the node's name in the key of its row.
@@ -349,14 +349,14 @@
 		mono.Sleep(ctx, jitter(joinPause))
 	}
 	for ctx.Err() == nil {
-		pause := joinRefresh
-		switch {
-		case !r.scan(ctx):
-			pause = joinPause
-		case len(r.alive()) <= 1:
-			pause = joinAlone
+		if !r.scan(ctx) {
+			mono.Sleep(ctx, jitter(joinPause))
+			continue
+		}
+		mono.Sleep(ctx, jitter(joinAlone))
+		if len(r.alive()) > 1 {
+			mono.Sleep(ctx, jitter(joinRefresh))
 		}
-		mono.Sleep(ctx, jitter(pause))
 	}
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -77,7 +77,8 @@
 	beat time.Time
 }
 
-// New returns a Watch of a node that knows no other member and watches.
+// New returns a Watch of a node that knows no other member. Until it does, it
+// asks the store after each silence: at a start it will soon hear of others.
 func New(o Options) *Watch {
 	w := &Watch{o: o, spread: time.Duration(o.Rand() * float64(silenceSpread))}
 	w.Update(nil)
@@ -86,9 +87,12 @@
 
 // Update replaces the live members. The own node counts whether listed or not.
 func (w *Watch) Update(members []Member) {
-	domains := domainsOf(members, w.o.Self)
 	w.watcher = false
 	w.listeners = nil
+	domains := domainsOf(members, w.o.Self)
+	if len(domains) == 1 && len(domains[0].members) == 1 {
+		return
+	}
 	for i, d := range domains {
 		for rank, n := range d.watchers {
 			if n == w.o.Self.Node {
