Bound what a new version gets until it is proven under load

Exits now take at most 0.9 of the bound until nine tenths of these requests have ended without a fault, or 0.74 of the time is over. Requests beyond that go to the old version. The judgement also compares what ended under load only, since the good answers of the trial hide a fault of a few requests.

The test's answers now take 1 s instead of none; TestBriefStopsBadVersions then failed in 'under load' and the new 'after the push' (202 requests of 194) before the change.

--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -157,7 +157,7 @@
 		r.brief.Sent("", false)
 	}
 	failed := !x.Late && (x.Failed || x.Outcome == wirepb.Outcome_OUTCOME_UNKNOWN)
-	r.brief.Ended(x.Route, fresh, failed, x.Work)
+	r.brief.Ended(x.Route, fresh, failed, x.Work, time.Now())
 }
 
 // Run drives the moves until ctx ends.
--- a/move/brief.go
+++ b/move/brief.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
 	"time"
@@ -20,9 +21,10 @@
 	o     BriefOptions
 	began time.Time
 	rows  map[owner]*row
-	// byRoute and all are the sums over rows.
+	// byRoute, all and loaded are the sums over rows.
 	byRoute map[ident.Route]Pair
 	all     Pair
+	loaded  Pair
 	// told is the largest number of requests that another node has told.
 	told int
 	// clock counts changes of rows.
@@ -66,8 +68,12 @@
 	New Group `json:"n"`
 }
 
-// tally is what one node has counted, by route.
-type tally map[ident.Route]Pair
+// tally is what one node has counted.
+type tally struct {
+	Routes map[ident.Route]Pair `json:"r"`
+	// Loaded counts the ends after the trial, when the new version has load.
+	Loaded Pair `json:"l"`
+}
 
 const (
 	// trialShare of the length is the time in which the new version gets few
@@ -83,6 +89,12 @@
 	// of the push and the moment at which all exits know of a fault.
 	trialCut = 0.3
 	pushCut  = 0.5
+	// shiftCut is the part that may be used when all requests shift after the
+	// push, until the version is proven: provenShare of so many answers are in
+	// without a fault, or shiftShare of the length is over.
+	shiftCut    = 0.9
+	provenShare = 0.9
+	shiftShare  = 0.74
 	// leastBad failures and a failure rate that is higher than the old version's
 	// by badRate show a fault, if chance explains the difference less often than
 	// in 1 of 1,000 looks (badSigma standard deviations). A faulty version fails
@@ -91,6 +103,9 @@
 	leastBad = 4
 	badRate  = 0.15
 	badSigma = 3
+	// loadedRate is the difference that counts under load: a fault that needs
+	// load also spares the requests of the quieter moments.
+	loadedRate = 0.1
 	// leastSlow answers with a mean of slowRatio times the old version's work
 	// time show a slow version, which takes several times as long.
 	leastSlow = 8
@@ -102,7 +117,7 @@
 	return &Brief{
 		o:       o,
 		began:   now,
-		rows:    map[owner]*row{{o.Node, o.Start}: {tally: tally{}}},
+		rows:    map[owner]*row{{o.Node, o.Start}: {tally: tally{Routes: map[ident.Route]Pair{}}}},
 		byRoute: map[ident.Route]Pair{},
 	}
 }
@@ -139,34 +154,32 @@
 
 // Sent counts a request that is handed to an upstream of this node.
 func (b *Brief) Sent(r ident.Route, fresh bool) {
-	b.change(r, fresh, func(g *Group) { g.Sent++ })
+	b.change(r, fresh, Group{Sent: 1})
 }
 
 // Ended counts the end of a request; work is its time at usual speed, for one
 // that ended at its deadline the time until then.
-func (b *Brief) Ended(r ident.Route, fresh, failed bool, work time.Duration) {
-	b.change(r, fresh, func(g *Group) {
-		g.Ended++
-		if failed {
-			g.Failed++
-		} else {
-			g.Work += int(work.Milliseconds())
-		}
-	})
+func (b *Brief) Ended(r ident.Route, fresh, failed bool, work time.Duration, now time.Time) {
+	end := Group{Ended: 1, Work: int(work.Milliseconds())}
+	if failed {
+		end = Group{Ended: 1, Failed: 1}
+	}
+	if b.Age(now) >= b.part(trialShare) {
+		own := b.own()
+		own.tally.Loaded.group(fresh).add(end, 1)
+		b.loaded.group(fresh).add(end, 1)
+	}
+	b.change(r, fresh, end)
 	b.Judge()
 }
 
-func (b *Brief) change(r ident.Route, fresh bool, f func(*Group)) {
+func (b *Brief) change(r ident.Route, fresh bool, by Group) {
 	own := b.own()
-	p, sum := own.tally[r], b.byRoute[r]
+	p, sum := own.tally.Routes[r], b.byRoute[r]
 	for _, x := range []*Pair{&p, &sum, &b.all} {
-		if fresh {
-			f(&x.New)
-		} else {
-			f(&x.Old)
-		}
+		x.group(fresh).add(by, 1)
 	}
-	own.tally[r] = p
+	own.tally.Routes[r] = p
 	b.byRoute[r] = sum
 	b.clock++
 	own.changed = b.clock
@@ -201,14 +214,13 @@
 
 // sum adds a tally to the sums, or takes it away with sign -1.
 func (b *Brief) sum(t tally, sign int) {
-	for r, p := range t {
+	for r, p := range t.Routes {
 		sum := b.byRoute[r]
-		sum.Old.add(p.Old, sign)
-		sum.New.add(p.New, sign)
+		sum.add(p, sign)
 		b.byRoute[r] = sum
-		b.all.Old.add(p.Old, sign)
-		b.all.New.add(p.New, sign)
+		b.all.add(p, sign)
 	}
+	b.loaded.add(t.Loaded, sign)
 }
 
 // Clock counts the changes of counters, for Rows.
@@ -229,12 +241,24 @@
 
 func (t tally) size() int {
 	n := 0
-	for _, p := range t {
+	for _, p := range t.Routes {
 		n += p.Old.Sent + p.Old.Ended + p.New.Sent + p.New.Ended
 	}
 	return n
 }
 
+func (p *Pair) group(fresh bool) *Group {
+	if fresh {
+		return &p.New
+	}
+	return &p.Old
+}
+
+func (p *Pair) add(o Pair, sign int) {
+	p.Old.add(o.Old, sign)
+	p.New.add(o.New, sign)
+}
+
 func (g *Group) add(o Group, sign int) {
 	g.Sent += sign * o.Sent
 	g.Ended += sign * o.Ended
@@ -249,25 +273,27 @@
 // Told takes the number of requests that another node knows of.
 func (b *Brief) Told(sent int) { b.told = max(b.told, sent) }
 
-// Judge latches a fault of the new version, on one route or over all of them.
+// Judge latches a fault of the new version, over all routes, under load only
+// or on one route.
 func (b *Brief) Judge() {
 	if b.fault != "" || b.outcome != Open {
 		return
 	}
-	if b.fault = b.all.fault(); b.fault != "" {
+	if b.fault = cmp.Or(b.all.fault(badRate), b.loaded.fault(loadedRate)); b.fault != "" {
 		return
 	}
 	for _, p := range b.byRoute {
-		if b.fault = p.fault(); b.fault != "" {
+		if b.fault = p.fault(badRate); b.fault != "" {
 			return
 		}
 	}
 }
 
 // fault returns why the new version is worse than the old one, or nothing.
-func (p Pair) fault() string {
+// Least is the least difference of the failure rates that counts.
+func (p Pair) fault(least float64) string {
 	n, o := p.New, p.Old
-	if n.Failed >= leastBad && n.failRate()-o.failRate() >= max(badRate, badSigma*p.spread()) {
+	if n.Failed >= leastBad && n.failRate()-o.failRate() >= max(least, badSigma*p.spread()) {
 		return "failures"
 	}
 	if n.served() >= leastSlow && o.served() >= leastSlow && n.work() > slowRatio*o.work() {
@@ -311,22 +337,35 @@
 		return true
 	case b.outcome == Reverted || b.fault != "":
 		return false
-	case !b.Trial(now):
+	case b.proven(now):
 		return true
 	}
-	bound := b.o.Slack + b.o.Share*float64(b.Total())
 	own := 0
-	for _, p := range b.own().tally {
+	for _, p := range b.own().tally.Routes {
 		own += p.New.Sent
 	}
-	return float64(own) < b.cut(now)*bound/float64(max(1, exits))
+	return float64(own) < b.cut(now)*b.bound()/float64(max(1, exits))
+}
+
+// bound is the number of requests that a bad version may have got by now.
+func (b *Brief) bound() float64 { return b.o.Slack + b.o.Share*float64(b.Total()) }
+
+// proven reports whether the new version has shown no fault under all requests.
+func (b *Brief) proven(now time.Time) bool {
+	if b.Trial(now) {
+		return false
+	}
+	return b.Age(now) >= b.part(shiftShare) || float64(b.all.New.Ended) >= provenShare*shiftCut*b.bound()
 }
 
 // cut is the part of the bound that may be used by now. In the trial it grows
 // with time, so that late faults meet requests, too.
 func (b *Brief) cut(now time.Time) float64 {
 	age := float64(b.Age(now)) / float64(b.part(trialShare))
-	if age >= 1 {
+	switch {
+	case !b.Trial(now):
+		return shiftCut
+	case age >= 1:
 		return pushCut
 	}
 	return trialCut * min(1, trialFirst+age)
--- a/move/brief_test.go
+++ b/move/brief_test.go
@@ -18,8 +18,8 @@
 	b := move.NewBrief(move.BriefOptions{Node: "n", Start: 1, Length: 16 * time.Second, Share: 0.1, Slack: 50}, now)
 	for range 6 {
 		b.Sent("book", true)
-		b.Ended("book", true, true, 0)
-		b.Ended("book", false, false, 100*time.Millisecond)
+		b.Ended("book", true, true, 0, now)
+		b.Ended("book", false, false, 100*time.Millisecond, now)
 	}
 	fmt.Println(b.Fault(), b.Verdict(now), b.Share(now))
 	// Output: failures reverted 0
@@ -37,10 +37,26 @@
 	slow  float64
 	// common is the failure rate of both versions.
 	common float64
-	bad    int
-	total  int
+	// pending are the answers that haven't come yet, in order of their start.
+	pending []answer
+	bad     int
+	total   int
 }
 
+// answer is the end of a request at an exit.
+type answer struct {
+	at    time.Time
+	exit  *move.Brief
+	route ident.Route
+	fresh bool
+	bad   bool
+	work  time.Duration
+}
+
+// answerTime is the time until an answer: requests wait at their exits, and
+// their instances are slow at times.
+const answerTime = time.Second
+
 func everyone(ident.Node, ident.Start) bool { return true }
 
 const briefLength = 16 * time.Second
@@ -63,6 +79,7 @@
 	recent := 0
 	for tick := 0; s.now.Sub(briefStart) < briefLength; tick++ {
 		s.now = s.now.Add(step)
+		s.deliver()
 		recent = s.request(recent)
 		if tick%max(1, rate/5) == 0 {
 			s.trade(t)
@@ -80,6 +97,21 @@
 	return move.Open
 }
 
+// deliver ends the requests whose answers have come by now.
+func (s *service) deliver() {
+	for len(s.pending) > 0 && !s.pending[0].at.After(s.now) {
+		a := s.pending[0]
+		a.exit.Ended(a.route, a.fresh, a.bad, a.work, s.now)
+		s.pending = s.pending[1:]
+	}
+}
+
+func (s *service) send(e *move.Brief, a answer) {
+	a.exit, a.at = e, s.now.Add(answerTime)
+	e.Sent(a.route, a.fresh)
+	s.pending = append(s.pending, a)
+}
+
 // request places one request as an entry does: on the new version by the
 // share, and on the old one if the exit refuses.
 func (s *service) request(recent int) int {
@@ -91,15 +123,13 @@
 		e := s.exits[s.old+s.random.IntN(len(s.exits)-s.old)]
 		if e.Admits(len(s.exits)-s.old, s.now) {
 			s.bad++
-			e.Sent(name, true)
 			failed := s.random.Float64() < s.common || s.fails(route, s.now.Sub(briefStart), recent)
-			e.Ended(name, true, failed, time.Duration(s.slow*float64(work)))
+			s.send(e, answer{route: name, fresh: true, bad: failed, work: time.Duration(s.slow * float64(work))})
 			return recent + 1
 		}
 	}
 	e := s.exits[s.random.IntN(s.old)]
-	e.Sent(name, false)
-	e.Ended(name, false, s.random.Float64() < s.common, work)
+	s.send(e, answer{route: name, bad: s.random.Float64() < s.common, work: work})
 	return recent
 }
 
@@ -148,6 +178,9 @@
 		"late": func(s *service) {
 			s.fails = func(_ int, age time.Duration, _ int) bool { return age > 3400*time.Millisecond && half(s.random) }
 		},
+		"after the push": func(s *service) {
+			s.fails = func(_ int, age time.Duration, _ int) bool { return age > 10*time.Second && half(s.random) }
+		},
 		"under load": func(s *service) {
 			s.fails = func(_ int, _ time.Duration, n int) bool { return n >= 3 && half(s.random) }
 		},
