--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -142,6 +142,8 @@
 	add("table", "serve a table service", &tableVerb{})
 	add("objects", "serve an object store", &objectsVerb{})
 	add("upstream", "serve an upstream that announces itself", &upstreamVerb{})
+	add("rows", "serve the store of the users' platform", &rowsVerb{})
+	add("worker", "serve an upstream of the users' platform", &workerVerb{})
 	if _, err := p.Parse(); err != nil {
 		var fe *flags.Error
 		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
--- a/internal/cmd/verbs/side.go
+++ b/internal/cmd/verbs/side.go
@@ -18,12 +18,13 @@
 const sideGrowth = 40
 
 type sideVerb struct {
-	s streams
+	s        streams
+	Settings string `long:"settings" description:"settings file (default: the file that the platform names)"`
 }
 
-// readSide reads the settings that the platform has placed.
-func readSide() (*spec.Side, error) {
-	path, body, err := platform.Settings()
+// read reads the settings.
+func (v *sideVerb) read() (*spec.Side, error) {
+	path, body, err := platform.Settings(v.Settings)
 	if err != nil {
 		return nil, err
 	}
@@ -32,7 +33,7 @@
 
 // Execute runs a node on the users' platform until SIGTERM, then drains it.
 func (v *sideVerb) Execute([]string) error {
-	s, err := readSide()
+	s, err := v.read()
 	if err != nil {
 		return failure{code: exitFailed, err: err}
 	}
@@ -50,7 +51,7 @@
 			}
 		}
 	}()
-	n, err := fleet.New(fleet.Options{Settings: s, Reload: readSide, Log: v.s.out, Version: Number})
+	n, err := fleet.New(fleet.Options{Settings: s, Reload: v.read, Log: v.s.out, Version: Number})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -129,8 +129,8 @@
 		Service: u.Service,
 		Version: u.Version,
 		Slots:   u.Slots,
-		RPC:     s.Listen.Peers,
-		UDP:     s.Listen.Peers,
+		RPC:     s.Listen.Reached(),
+		UDP:     s.Listen.Reached(),
 		Ready:   u.Ready && !u.Draining,
 	}
 }
@@ -381,7 +381,7 @@
 			r.n.log.Emit(event.RowRejected, event.F(event.Key, row.Key), event.F(event.Error, err))
 			continue
 		}
-		if j.UDP != r.n.settings.Listen.Peers {
+		if j.UDP != r.n.settings.Listen.Reached() {
 			seeds = append(seeds, j.UDP)
 		}
 	}
@@ -395,7 +395,7 @@
 	limited, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	key := joinPrefix + string(r.n.settings.Node)
-	value, err := json.Marshal(joinRow{UDP: r.n.settings.Listen.Peers})
+	value, err := json.Marshal(joinRow{UDP: r.n.settings.Listen.Reached()})
 	if err != nil {
 		return false
 	}
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -36,10 +36,10 @@
 	err  error
 }
 
-// Watch receives the lines of a process that start with its prefix.
+// Watch receives the lines of a process that start with Prefix, without it.
 type Watch struct {
-	prefix string
-	line   func(string)
+	Prefix string
+	Line   func(string)
 }
 
 // Start starts a program whose output goes to a log file in dir.
@@ -70,8 +70,8 @@
 	s := bufio.NewScanner(from)
 	for s.Scan() {
 		line := s.Text()
-		if w.line != nil && strings.HasPrefix(line, w.prefix) {
-			w.line(line[len(w.prefix):])
+		if w.Line != nil && strings.HasPrefix(line, w.Prefix) {
+			w.Line(line[len(w.Prefix):])
 		}
 		_, _ = io.WriteString(to, line+"\n")
 	}
@@ -104,6 +104,17 @@
 	}
 }
 
+// Ends waits until the process has ended, at most for a time, and reports
+// whether it has.
+func (p *Process) Ends(within time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
 // StopIfRunning stops a process that has not ended before.
 func (p *Process) StopIfRunning() bool {
 	return !p.Running() || p.Stop()
@@ -178,6 +189,15 @@
 	s.all = append(s.all, p)
 }
 
+// Start is Start for a process that KillAll ends.
+func (s *Group) Start(dir, name string, w Watch, program string, args ...string) (*Process, error) {
+	p, err := Start(dir, name, w, program, args...)
+	if err == nil {
+		s.add(p)
+	}
+	return p, err
+}
+
 // KillAll ends whatever still runs and returns how many had to be ended.
 func (s *Group) KillAll() int {
 	s.mu.Lock()
--- a/internal/procs/system.go
+++ b/internal/procs/system.go
@@ -126,7 +126,7 @@
 	if w.Service == "counter" {
 		next = "workshop"
 	}
-	p, err := Start(s.Dir, fmt.Sprintf("%s-upstream-%d", w.Name, w.starts), Watch{prefix: "run ", line: s.ran},
+	p, err := Start(s.Dir, fmt.Sprintf("%s-upstream-%d", w.Name, w.starts), Watch{Prefix: "run ", Line: s.ran},
 		filepath.Join(s.Bin, "standin"), "upstream",
 		"--listen", w.Address, "--local", "http://"+w.Local, "--entry", "http://"+w.Callers,
 		"--service", w.Service, "--version", w.Version, "--slots", fmt.Sprint(w.Slots),
--- a/internal/spec/side.go
+++ b/internal/spec/side.go
@@ -1,6 +1,7 @@
 package spec
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
@@ -32,6 +33,7 @@
 	Beats   string `json:"beats" spec:"form=address" doc:"HTTP for the upstream's heartbeats."`
 	Ready   string `json:"ready" spec:"form=address" doc:"HTTP for the platform's readiness check."`
 	Peers   string `json:"peers" spec:"form=address" doc:"HTTP and UDP for other nodes."`
+	Public  string `json:"public" spec:"optional" doc:"Address at which other nodes reach this one, such as one that is translated on the way; empty means peers."`
 	Admin   string `json:"admin" spec:"optional" doc:"HTTP for metrics and events; empty means none."`
 }
 
@@ -59,6 +61,9 @@
 	Slack   float64 `json:"slack" spec:"default=5,min=0,max=1000" doc:"Requests beyond that."`
 }
 
+// Reached returns the address at which other nodes reach this one.
+func (l SideListen) Reached() string { return cmp.Or(l.Public, l.Peers) }
+
 var sideShape = describe[Side]("cicadahall side settings")
 
 // ParseSide reads the settings of a node on the users' platform. The error is
