--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -20,7 +20,7 @@
 const (
 	// faultPause is the mean time between the begins of two faults; most last
 	// longer, so that they overlap.
-	faultPause = 500 * time.Millisecond
+	faultPause = 350 * time.Millisecond
 	// faultLeast and faultMost bound the time that a fault lasts.
 	faultLeast = 200 * time.Millisecond
 	faultMost  = 4 * time.Second
@@ -30,34 +30,52 @@
 	orderLimit = 2 * time.Second
 )
 
+// scope tells what a fault touches.
+type scope uint8
+
+const (
+	// work is planned work, place one node and its links, whole the store.
+	work scope = iota
+	place
+	whole
+	scopes
+)
+
 // fault is one kind of trouble or planned work. It blocks for as long as it lasts.
 type fault struct {
-	name string
-	play func(s *system, n *node, random *rand.Rand, lasts time.Duration)
+	scope scope
+	play  func(s *system, n *node, random *rand.Rand, lasts time.Duration)
 }
 
 var faults = []fault{
-	{"kill node", func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.killNode(n, lasts/2) }},
-	{"freeze node", func(s *system, n *node, r *rand.Rand, lasts time.Duration) { s.freezeNode(n, lasts, r.IntN(4) == 0) }},
-	{"stop node", func(s *system, n *node, r *rand.Rand, lasts time.Duration) { s.stopNode(n, r.IntN(4) == 0, lasts) }},
-	{"stop node", func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.stopNode(n, false, lasts) }},
-	{"kill upstream", func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.killUpstream(n, lasts/2) }},
-	{"freeze upstream", func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.freezeUpstream(n, lasts) }},
-	{"release upstream", func(s *system, n *node, _ *rand.Rand, _ time.Duration) { s.release(n) }},
-	{"link", (*system).harmLink},
-	{"link", (*system).harmLink},
-	{"store", (*system).harmStore},
-	{"store", (*system).harmStore},
-	{"change", func(s *system, _ *node, _ *rand.Rand, _ time.Duration) { s.change() }},
-	{"change", func(s *system, _ *node, _ *rand.Rand, _ time.Duration) { s.change() }},
-	{"evacuate", func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.evacuate(n.domain, 2*lasts) }},
+	{place, func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.killNode(n, lasts/2) }},
+	{place, func(s *system, n *node, r *rand.Rand, lasts time.Duration) { s.freezeNode(n, lasts, r.IntN(4) == 0) }},
+	{place, func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.stopNode(n, true, lasts) }},
+	{work, func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.stopNode(n, false, lasts) }},
+	{place, func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.killUpstream(n, lasts/2) }},
+	{place, func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.freezeUpstream(n, lasts) }},
+	{work, func(s *system, n *node, _ *rand.Rand, _ time.Duration) { s.release(n) }},
+	{work, func(s *system, n *node, _ *rand.Rand, _ time.Duration) { s.release(n) }},
+	{place, (*system).harmLink},
+	{place, (*system).harmLink},
+	{whole, (*system).harmStore},
+	{whole, (*system).harmStore},
+	{work, func(s *system, _ *node, _ *rand.Rand, _ time.Duration) { s.change() }},
+	{work, func(s *system, _ *node, _ *rand.Rand, _ time.Duration) { s.change() }},
+	{work, func(s *system, n *node, _ *rand.Rand, lasts time.Duration) { s.evacuate(n.domain, 2*lasts) }},
 }
 
-// harm plays faults until the time is over and waits for those that last.
+// harm plays faults until the time is over and waits for those that last. A
+// third of the seeds has planned work only, a third spares the store: promises
+// with a time bound hold only where nothing else happens.
 func (s *system) harm(random *rand.Rand, length time.Duration) {
 	var w sync.WaitGroup
+	widest := scope(random.IntN(int(scopes)))
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		f := faults[random.IntN(len(faults))]
+		if f.scope > widest {
+			continue
+		}
 		n := s.nodes[random.IntN(len(s.nodes))]
 		own := rand.New(rand.NewPCG(random.Uint64(), 2))
 		lasts := faultLeast + time.Duration(random.Int64N(int64(faultMost-faultLeast)))
