--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -250,8 +250,13 @@
 
 func routeOf(version int) string { return fmt.Sprintf("/added%d/", version) }
 
-// evacuate takes a domain out for a time.
+// evacuate takes a domain out for a time, unless one is out already: the one
+// row of a domain would be removed by the end of the first of two orders.
 func (s *system) evacuate(domain string, lasts time.Duration) {
+	if !s.evacuating.TryLock() {
+		return
+	}
+	defer s.evacuating.Unlock()
 	key := "evacuate/" + domain
 	if s.order(key, []byte(`{}`)) != nil {
 		return
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -63,8 +63,9 @@
 	// instances counts the upstreams started so far.
 	instances atomic.Int64
 	record    record
-	// operator is held while a configuration is written.
-	operator sync.Mutex
+	// operator is held while a configuration is written, evacuating while a
+	// domain is out.
+	operator, evacuating sync.Mutex
 }
 
 // run is one execution of a request at an upstream.
