--- a/event/code.go
+++ b/event/code.go
@@ -75,6 +75,10 @@
 	StoreDown Code = 700 + iota
 	StoreUp
 	RowRejected
+	WatchBegun
+	WatchEnded
+	WatchersSilent
+	WatchersHeard
 )
 
 // Failure domains: 800 to 899.
--- a/internal/chaos/main_test.go
+++ b/internal/chaos/main_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -30,10 +29,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/cicadahall", "../../cmd/standin")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "go build:", err)
+	if err := procs.Build(dir, "../../cmd/cicadahall", "../../cmd/standin"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	bin = dir
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/watch"
 )
@@ -19,6 +20,11 @@
 
 	mu    sync.Mutex
 	state *watch.Watch
+	// watches and silent are what the log tells: the role of this node, and
+	// since when it has heard no watcher, zero while it hears one.
+	watches bool
+	silent  time.Time
+	word    time.Time
 }
 
 func newWatcher(n *Node) *watcher {
@@ -56,6 +62,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.state.Update(members)
+	if w.watches == w.state.Watcher() {
+		return
+	}
+	w.watches = w.state.Watcher()
+	if w.watches {
+		w.n.log.Emit(event.WatchBegun, event.F(event.Count, len(w.state.Listeners())))
+	} else {
+		w.n.log.Emit(event.WatchEnded)
+	}
 }
 
 func (w *watcher) listeners() []ident.Node {
@@ -67,7 +82,13 @@
 func (w *watcher) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.state.Heard(time.Now())
+	now := time.Now()
+	w.state.Heard(now)
+	w.word = now
+	if !w.silent.IsZero() {
+		w.n.log.Emit(event.WatchersHeard, event.F(event.Elapsed, now.Sub(w.silent)))
+		w.silent = time.Time{}
+	}
 }
 
 func (w *watcher) answered() {
@@ -85,5 +106,11 @@
 func (w *watcher) asks() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.state.Asks(time.Now())
+	now := time.Now()
+	asks := w.state.Asks(now)
+	if asks && !w.watches && !w.word.IsZero() && w.silent.IsZero() {
+		w.silent = w.word
+		w.n.log.Emit(event.WatchersSilent, event.F(event.Elapsed, now.Sub(w.word)))
+	}
+	return asks
 }
