Hold the bound on a new version until the outcome is known

A burst fails requests of both versions, so that a fault under load stays below the least difference for about a second of full traffic. Ruled out: the spread of the latch (0.2 s) and lost counters (no exit restarts there).

Exits now keep to 0.5 of the bound after the push, while its answers come in and few requests are sent, and to 0.95 from 0.7 of the time until the outcome is known; a version is done at 0.84. What does not fit goes to the old version.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,7 +7,7 @@
 // rests on the time of day.
 //
 // Locks are taken in this order: shell of the membership, exit, orders, moves,
-// roster, entry.
+// roster, watcher, entry.
 package fleet
 
 import (
--- a/move/brief.go
+++ b/move/brief.go
@@ -78,23 +78,24 @@
 const (
 	// trialShare of the length is the time in which the new version gets few
 	// requests, and pushShare the end of the time after it in which it gets all
-	// requests until the bound is nearly reached: some faults show under load only.
+	// requests until its part of the bound is used: some faults show under load
+	// only.
 	trialShare = 0.5
 	pushShare  = 0.62
 	// doneShare of the length is when a version without a fault is done; the
 	// rest of the time is for writing the outcome while the store is slow.
-	doneShare = 0.8
-	// trialCut and pushCut are the parts of the bound that may be used in these
-	// times. The rest is for the requests that the version gets between the end
-	// of the push and the moment at which all exits know of a fault.
+	doneShare = 0.84
+	// shiftShare of the length is when all requests shift, shortly before the
+	// version is done, so that few are left at the old one then.
+	shiftShare = 0.7
+	// trialCut, pushCut and shiftCut are the parts of the bound that may be used
+	// until the end of the trial, of the push and of the move. Between push and
+	// shift the answers to the push come in. No evidence lifts the bound before
+	// the outcome is known: a burst can hide a fault for about a second, in which
+	// a version without a bound got 80 requests.
 	trialCut = 0.3
 	pushCut  = 0.5
-	// shiftCut is the part that may be used when all requests shift after the
-	// push, until the version is proven: provenShare of so many answers are in
-	// without a fault, or shiftShare of the length is over.
-	shiftCut    = 0.9
-	provenShare = 0.9
-	shiftShare  = 0.74
+	shiftCut = 0.95
 	// leastBad failures and a failure rate that is higher than the old version's
 	// by badRate show a fault, if chance explains the difference less often than
 	// in 1 of 1,000 looks (badSigma standard deviations). A faulty version fails
@@ -319,10 +320,9 @@
 
 func (g Group) work() float64 { return float64(g.Work) / float64(max(1, g.served())) }
 
-// Trial reports whether the move is in the time in which the new version gets
-// a bounded number of requests.
+// Trial reports whether the move is in the time before all requests shift.
 func (b *Brief) Trial(now time.Time) bool {
-	return b.outcome == Open && b.fault == "" && b.Age(now) < b.part(pushShare)
+	return b.outcome == Open && b.fault == "" && b.Age(now) < b.part(shiftShare)
 }
 
 func (b *Brief) part(share float64) time.Duration {
@@ -337,8 +337,6 @@
 		return true
 	case b.outcome == Reverted || b.fault != "":
 		return false
-	case b.proven(now):
-		return true
 	}
 	own := 0
 	for _, p := range b.own().tally.Routes {
@@ -350,24 +348,16 @@
 // bound is the number of requests that a bad version may have got by now.
 func (b *Brief) bound() float64 { return b.o.Slack + b.o.Share*float64(b.Total()) }
 
-// proven reports whether the new version has shown no fault under all requests.
-func (b *Brief) proven(now time.Time) bool {
-	if b.Trial(now) {
-		return false
-	}
-	return b.Age(now) >= b.part(shiftShare) || float64(b.all.New.Ended) >= provenShare*shiftCut*b.bound()
-}
-
 // cut is the part of the bound that may be used by now. In the trial it grows
 // with time, so that late faults meet requests, too.
 func (b *Brief) cut(now time.Time) float64 {
-	age := float64(b.Age(now)) / float64(b.part(trialShare))
 	switch {
-	case !b.Trial(now):
+	case b.Age(now) >= b.part(shiftShare):
 		return shiftCut
-	case age >= 1:
+	case b.Age(now) >= b.part(trialShare):
 		return pushCut
 	}
+	age := float64(b.Age(now)) / float64(b.part(trialShare))
 	return trialCut * min(1, trialFirst+age)
 }
 
@@ -383,6 +373,9 @@
 		return 0
 	case b.Age(now) < b.part(trialShare):
 		return b.o.Share
+	case b.Age(now) >= b.part(pushShare) && b.Trial(now):
+		// The exits take hardly any more until the shift.
+		return b.o.Share
 	default:
 		return 1
 	}
