--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -23,7 +23,7 @@
 	Slots    int           `long:"slots" default:"4" description:"requests that run at the same time"`
 	Mean     time.Duration `long:"mean" default:"30ms" description:"mean service time"`
 	Beat     time.Duration `long:"beat" default:"300ms" description:"time between two heartbeats"`
-	Drain    time.Duration `long:"drain" default:"2s" description:"time that a leaving worker serves on"`
+	Drain    time.Duration `long:"drain" default:"4s" description:"time that a leaving worker serves on, above the bound for new work"`
 }
 
 // Execute serves until a signal arrives, then leaves as planned.
