Let exits of a new version take all requests shortly before it is done

Old upstreams stop at that moment. Ruled out: a wrong share at the entry, which is 1 from 0.7 of the time on.

Exits now lift the bound 0.4 s before the time at which they write the outcome. TestBriefTakesAllBeforeDone fails without this.

--- a/move/brief.go
+++ b/move/brief.go
@@ -96,6 +96,10 @@
 	trialCut = 0.3
 	pushCut  = 0.5
 	shiftCut = 0.95
+	// liftTime before the version is done, its exits take all requests: the old
+	// upstreams are stopped as soon as the outcome is written, and nodes differ
+	// by some 100 ms in when the move began.
+	liftTime = 400 * time.Millisecond
 	// leastBad failures and a failure rate that is higher than the old version's
 	// by badRate show a fault, if chance explains the difference less often than
 	// in 1 of 1,000 looks (badSigma standard deviations). A faulty version fails
@@ -337,6 +341,8 @@
 		return true
 	case b.outcome == Reverted || b.fault != "":
 		return false
+	case b.due(now.Add(liftTime)):
+		return true
 	}
 	own := 0
 	for _, p := range b.own().tally.Routes {
@@ -388,8 +394,13 @@
 		return Open
 	case b.fault != "" || b.Age(now) >= b.o.Length:
 		return Reverted
-	case b.Age(now) >= b.part(doneShare) && b.all.New.served() >= leastSlow:
+	case b.due(now):
 		return Done
 	}
 	return Open
 }
+
+// due reports whether a version without a fault is done at a time.
+func (b *Brief) due(now time.Time) bool {
+	return b.Age(now) >= b.part(doneShare) && b.all.New.served() >= leastSlow
+}
--- a/move/brief_test.go
+++ b/move/brief_test.go
@@ -206,6 +206,24 @@
 	}
 }
 
+// Guards against a version that is done while its exits still refuse requests:
+// the old upstreams stop at once then. Before that the bound holds.
+func TestBriefTakesAllBeforeDone(t *testing.T) {
+	o := move.BriefOptions{Node: "n", Start: 1, Length: briefLength, Share: 0.1, Slack: 50}
+	b := move.NewBrief(o, briefStart)
+	for range 60 {
+		b.Sent("book", true)
+		b.Ended("book", true, false, 100*time.Millisecond, briefStart)
+	}
+	done := briefStart
+	for b.Verdict(done) == move.Open {
+		done = done.Add(10 * time.Millisecond)
+	}
+	assert.Equal(t, b.Verdict(done), move.Done)
+	assert.Assert(t, b.Admits(1, done.Add(-100*time.Millisecond)))
+	assert.Assert(t, !b.Admits(1, done.Add(-time.Second)))
+}
+
 // Guards against counters that depend on the order of merges.
 func TestBriefMergesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
