Push a new version with three quarters of its bound before it is judged

The trial now uses 0.2 of the bound and the push 0.75; a version is done only with 16 good answers under load.

--- a/move/brief.go
+++ b/move/brief.go
@@ -93,9 +93,13 @@
 	// shift the answers to the push come in. No evidence lifts the bound before
 	// the outcome is known: a burst can hide a fault for about a second, in which
 	// a version without a bound got 80 requests.
-	trialCut = 0.3
-	pushCut  = 0.5
+	// The push is the largest part: a fault under load shows only while the
+	// version gets all requests for most of a second.
+	trialCut = 0.2
+	pushCut  = 0.75
 	shiftCut = 0.95
+	// leastLoaded answers under load are needed before a version is done.
+	leastLoaded = 16
 	// liftTime before the version is done, its exits take all requests: the old
 	// upstreams are stopped as soon as the outcome is written, and nodes differ
 	// by some 100 ms in when the move began.
@@ -402,5 +406,5 @@
 
 // due reports whether a version without a fault is done at a time.
 func (b *Brief) due(now time.Time) bool {
-	return b.Age(now) >= b.part(doneShare) && b.all.New.served() >= leastSlow
+	return b.Age(now) >= b.part(doneShare) && b.loaded.New.served() >= leastLoaded
 }
--- a/move/brief_test.go
+++ b/move/brief_test.go
@@ -213,7 +213,7 @@
 	b := move.NewBrief(o, briefStart)
 	for range 60 {
 		b.Sent("book", true)
-		b.Ended("book", true, false, 100*time.Millisecond, briefStart)
+		b.Ended("book", true, false, 100*time.Millisecond, briefStart.Add(briefLength/2))
 	}
 	done := briefStart
 	for b.Verdict(done) == move.Open {
