--- a/move/brief.go
+++ b/move/brief.go
@@ -89,11 +89,10 @@
 	// version is done, so that few are left at the old one then.
 	shiftShare = 0.7
 	// trialCut, pushCut and shiftCut are the parts of the bound that may be used
-	// until the end of the trial, of the push and of the move. Between push and
-	// shift the answers to the push come in. No evidence lifts the bound before
-	// the outcome is known: a burst can hide a fault for about a second, in which
-	// a version without a bound got 80 requests.
-	// The push is the largest part: a fault under load shows only while the
+	// until the end of the trial, until the shift and until liftTime before the
+	// version is done. Between push and shift the answers to the push come in. No
+	// evidence lifts the bound earlier: a burst can hide a fault for about a
+	// second, in which a version without a bound got 80 requests. The push is the largest part: a fault under load shows only while the
 	// version gets all requests for most of a second.
 	trialCut = 0.2
 	pushCut  = 0.75
