review: case 4, a rolling restart during a rollout cuts requests

A node that knows no member that isn't leaving, and has a rollout in progress, divides by zero when it exchanges counters. After six panics the supervisor stops all children, the callers' port among them, and the requests in progress lose their connections (LOST).

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -13,7 +13,7 @@
 )
 
 // clientDeadline is the time that a client waits for an answer.
-const clientDeadline = 3 * time.Second
+const clientDeadline = 5 * time.Second
 
 // request is one attempt of a client, with what the client saw.
 type request struct {
@@ -133,6 +133,10 @@
 			return
 		case <-time.After(time.Duration(rand.ExpFloat64() * float64(pause))):
 		}
+		if !c.machine.takesClients() {
+			c.close()
+			continue
+		}
 		method, prefix := http.MethodGet, "/status/"
 		if n%2 == 0 {
 			method, prefix = http.MethodPost, "/booking/"
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -23,6 +23,8 @@
 	drainLimit = 2 * time.Second
 	// restartDelay is the pause before the platform starts an ended process.
 	restartDelay = 300 * time.Millisecond
+	// routeTimeout is the longest time that the operator wants a request to wait.
+	routeTimeout = 3000 * time.Millisecond
 	startTimeout = 20 * time.Second
 	callerHost   = "desk.example"
 )
@@ -34,8 +36,12 @@
 	slots    int
 	// work is the time that a worker spends on a request.
 	work time.Duration
+	// spread is by how much a work time differs from work, as a fraction.
+	spread float64
 	// memoryMB is the size at which the platform kills a node; 0 means no limit.
 	memoryMB int
+	// versions are the versions of the workers, by machine; v1 where none is given.
+	versions []string
 }
 
 // fleet is the store, the machines and the record of one run.
@@ -52,6 +58,7 @@
 	mu   sync.Mutex
 	file *os.File
 	runs map[string][]execution
+	done chan struct{}
 }
 
 // execution is one run of a request at a worker.
@@ -71,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{options: o, program: program, dir: dir, startAt: time.Now(), file: file, runs: map[string][]execution{}}
+	f := &fleet{options: o, program: program, dir: dir, startAt: time.Now(), file: file, runs: map[string][]execution{}, done: make(chan struct{})}
 	if err := f.startStore(); err != nil {
 		return nil, err
 	}
@@ -92,6 +99,7 @@
 	}
 	for _, m := range f.machines {
 		m.worker.startBeats()
+		go m.watchReady()
 	}
 	if err := f.awaitReady(); err != nil {
 		f.close()
@@ -118,7 +126,7 @@
 		return map[string]any{
 			"name": name, "kind": kind, "target_latency_ms": 800, "priority": 1,
 			"match":  map[string]any{"prefix": prefix},
-			"action": map[string]any{"service": f.options.service, "timeout_ms": 2500, "max_attempts": 2},
+			"action": map[string]any{"service": f.options.service, "timeout_ms": routeTimeout.Milliseconds(), "max_attempts": 2},
 		}
 	}
 	value, err := json.Marshal(map[string]any{
@@ -197,6 +205,7 @@
 
 // close ends all processes that the run started.
 func (f *fleet) close() {
+	close(f.done)
 	for _, m := range f.machines {
 		m.stop()
 	}
@@ -204,7 +213,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_ = f.file.Close()
-	_ = os.RemoveAll(f.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+	}
 }
 
 // Free ports are taken below the range from which the system assigns ports to
--- a/review/harness/machine.go
+++ b/review/harness/machine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -31,6 +32,10 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	stopped bool
+	// terminated is the time of the latest SIGTERM.
+	terminated time.Time
+	// misses counts the latest readiness checks without status 200.
+	misses int
 	// kills counts the kills for too much memory, peakKB is the largest size.
 	kills  int
 	peakKB int
@@ -173,6 +178,50 @@
 	_ = m.process.Process.Signal(syscall.SIGKILL)
 }
 
+// terminate sends SIGTERM, and SIGKILL when the grace period is over. The platform
+// starts the node again when it has ended.
+func (m *machine) terminate() {
+	m.mu.Lock()
+	p := m.process
+	m.terminated = time.Now()
+	m.mu.Unlock()
+	m.fleet.record("node %s gets SIGTERM", m.name)
+	_ = p.Process.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() { _ = p.Process.Signal(syscall.SIGKILL) })
+}
+
+// watchReady checks once a second whether the node is ready.
+func (m *machine) watchReady() {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	c := http.Client{Timeout: time.Second}
+	for {
+		select {
+		case <-m.fleet.done:
+			return
+		case <-t.C:
+		}
+		status := 0
+		if resp, err := c.Get("http://" + m.ready + "/api/ready"); err == nil {
+			status = resp.StatusCode
+			_ = resp.Body.Close()
+		}
+		m.mu.Lock()
+		m.misses++
+		if status == http.StatusOK {
+			m.misses = 0
+		}
+		m.mu.Unlock()
+	}
+}
+
+// takesClients reports whether clients send new work to the machine.
+func (m *machine) takesClients() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.misses < 2
+}
+
 // stop ends the node and its worker for good.
 func (m *machine) stop() {
 	m.mu.Lock()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,6 +27,7 @@
 }{
 	"late-beats": {options: lateBeatsOptions, play: playLateBeats},
 	"endless":    {options: endlessOptions, play: playEndless},
+	"roll-move":  {options: rollMoveOptions, play: playRollMove},
 	"uploads":    {options: uploadsOptions, play: playUploads},
 }
 
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -25,6 +26,7 @@
 type worker struct {
 	machine  *machine
 	id       string
+	version  string
 	address  string
 	listener net.Listener
 	born     int64
@@ -47,7 +49,11 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{machine: m, id: fmt.Sprintf("i-%08x", 0x7f3a9100+number), address: l.Addr().String(), listener: l, born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}}
+	version := "v1"
+	if v := m.fleet.options.versions; len(v) >= number {
+		version = v[number-1]
+	}
+	w := &worker{machine: m, version: version, id: fmt.Sprintf("i-%08x", 0x7f3a9100+number), address: l.Addr().String(), listener: l, born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}}
 	w.ctx, w.stopCtx = context.WithCancel(context.Background())
 	w.beating, w.silence = context.WithCancel(w.ctx)
 	go w.accept()
@@ -83,8 +89,8 @@
 // beat sends one heartbeat.
 func (w *worker) beat() {
 	n := w.sequence.Add(1)
-	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","sequence":%d,"cold_left_ms":0}}`,
-		w.address, w.born, w.machine.fleet.options.service, w.machine.zone, w.machine.fleet.options.slots, n)
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":%q,"zone":%q,"slots":%d},"status":{"state":"ready","sequence":%d,"cold_left_ms":0}}`,
+		w.address, w.born, w.machine.fleet.options.service, w.version, w.machine.zone, w.machine.fleet.options.slots, n)
 	w.machine.fleet.record("worker %s sends heartbeat %d (ready)", w.id, n)
 	if err := w.callNode(http.MethodPut, w.machine.beats.address(), body); err != nil {
 		w.machine.fleet.record("worker %s has no acknowledgement of heartbeat %d: %v", w.id, n, err)
@@ -190,7 +196,7 @@
 		return false
 	}
 	select {
-	case <-time.After(w.machine.fleet.options.work):
+	case <-time.After(w.machine.fleet.options.workTime()):
 	case <-w.ctx.Done():
 		return false
 	}
@@ -201,6 +207,11 @@
 	return ok
 }
 
+// workTime returns the time that a worker spends on one request.
+func (o fleetOptions) workTime() time.Duration {
+	return time.Duration((1 + o.spread*(2*rand.Float64()-1)) * float64(o.work))
+}
+
 // bodyOf returns the whole body of the answer to a request.
 func bodyOf(id string) string { return "answer to " + id }
 
