--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -58,7 +58,9 @@
 	mu   sync.Mutex
 	file *os.File
 	runs map[string][]execution
-	done chan struct{}
+	// done is closed when the run ends.
+	done    chan struct{}
+	closing sync.Once
 }
 
 // execution is one run of a request at a worker.
@@ -204,7 +206,9 @@
 }
 
 // close ends all processes that the run started.
-func (f *fleet) close() {
+func (f *fleet) close() { f.closing.Do(f.closeAll) }
+
+func (f *fleet) closeAll() {
 	close(f.done)
 	for _, m := range f.machines {
 		m.stop()
@@ -213,9 +217,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_ = f.file.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.dir)
-	}
+	_ = os.RemoveAll(f.dir)
 }
 
 // Free ports are taken below the range from which the system assigns ports to
