review: the harness ends its processes when its output or the run is cut off

A reader that closed the pipe ended the harness before it ended its nodes; seven were left over from my own runs and were ended by their ids. With a closed pipe and with SIGTERM at 3 s and at 9 s none is left.

--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cicadahall/cicadahall/platform/fake"
@@ -81,6 +83,7 @@
 		return nil, err
 	}
 	f := &fleet{options: o, program: program, dir: dir, startAt: time.Now(), file: file, runs: map[string][]execution{}, done: make(chan struct{})}
+	f.endOnSignal()
 	if err := f.startStore(); err != nil {
 		return nil, err
 	}
@@ -110,6 +113,19 @@
 	return f, nil
 }
 
+// endOnSignal ends the run and its processes at a signal. A reader of the output
+// that goes away must not end the run before that.
+func (f *fleet) endOnSignal() {
+	signal.Ignore(syscall.SIGPIPE)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		f.close()
+		os.Exit(exitUnable)
+	}()
+}
+
 func (f *fleet) startStore() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
