--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -243,15 +243,23 @@
 	portCount  = 12000
 )
 
-// freeAddress returns an unused loopback address.
+// taken are the addresses that freeAddress has returned.
+var taken = map[string]bool{}
+
+// freeAddress returns an unused loopback address, each only once. It isn't safe
+// for concurrent use.
 func freeAddress() (string, error) {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		if taken[address] {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		_ = l.Close()
+		taken[address] = true
 		return address, nil
 	}
 	return "", errNoPort
