quota: bound what a node stores for requests by its memory

Cause: bodies were bounded one by one (64 MiB each, 128 MiB for the pool of an upstream), not by what the process has. io.ReadAll held up to twice a body while it grew, and connect-go kept up to four copies of each at both ends of a hop. No part knew the process's memory.

Change: internal/control/quota, one account for all requests of a process. A request holds a lease; its fixed share, body, response and copies are charged before they are allocated, at the entry, the exit and the upstream's connection. Large amounts count as used until a garbage collection has freed them. The size comes from the new field memory of the settings (184 MB without it); the runtime's memory limit is set from it as well. Call and Resolve travel as frames, so that a body is stored once at each node and refused by its length before it is read; peers of an earlier release are still called through connect-go. Receive buffers are bounded. A caller or peer that stops sending or reading a large body no longer holds its memory beyond the deadline.

What doesn't fit: 503 as not run, 413 for a body that can never fit, an unknown outcome for a response whose request has run.

--- a/internal/cmd/verbs/side.go
+++ b/internal/cmd/verbs/side.go
@@ -17,6 +17,10 @@
 // takes little CPU time.
 const sideGCPercent = 40
 
+// sideHeapBytes is the limit of the runtime's memory per MB of the process; the
+// rest holds bytes received and not yet read.
+const sideHeapBytes = 800_000
+
 type sideCommand struct {
 	streams  streams
 	Settings string `long:"settings" description:"settings file (default: the file that the platform specifies)"`
@@ -39,6 +43,7 @@
 		return failure{code: exitFailed, err: err}
 	}
 	debug.SetGCPercent(sideGCPercent)
+	debug.SetMemoryLimit(int64(s.Memory * sideHeapBytes))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan struct{}, 1)
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -29,6 +29,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/wire/bound"
 )
 
@@ -179,14 +180,15 @@
 
 // Do sends a request and returns the first complete response that match
 // accepts. Responses that match rejects belong to earlier requests and are
-// skipped. The error, if any, is an *Error.
+// skipped. The error, if any, is an *Error; it wraps quota.ErrFull if the lease
+// of ctx has no memory for the response.
 func (p *Pool) Do(ctx context.Context, address string, req *Request, match func(http.Header) bool) (*Response, error) {
 	c, err := p.acquire(ctx, address, req)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	e := &exchange{pool: p, conn: c, request: req, match: match, reused: c.reused}
+	e := &exchange{pool: p, lease: quota.FromContext(ctx), conn: c, request: req, match: match, reused: c.reused}
 	resp, err := e.run()
 	if !stop() || err != nil || !e.reusable {
 		_ = c.Close()
@@ -233,10 +235,32 @@
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
+		_ = tcp.SetReadBuffer(quota.ReceiveBuffer)
 	}
 	return c, nil
 }
 
+// Listen opens a listener whose connections have a receive buffer of
+// quota.ReceiveBuffer bytes.
+func Listen(network, address string) (net.Listener, error) {
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	return listener{l}, nil
+}
+
+type listener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(quota.ReceiveBuffer)
+	}
+	return c, err
+}
+
 // popIdle removes and returns the most recently used connection that may carry
 // the request; it is the least likely to be closed by the upstream. Connections
 // that were idle for too long are closed.
@@ -308,6 +332,7 @@
 // exchange is one request on one connection.
 type exchange struct {
 	pool     *Pool
+	lease    *quota.Lease
 	conn     *conn
 	request  *Request
 	match    func(http.Header) bool
@@ -324,7 +349,8 @@
 		written <- err
 	} else {
 		go func() {
-			_, err := e.conn.Write(append(head, e.request.Body...))
+			parts := net.Buffers{head, e.request.Body}
+			_, err := parts.WriteTo(e.conn.Conn)
 			written <- err
 		}()
 	}
@@ -384,8 +410,12 @@
 	defer func() { _ = resp.Body.Close() }()
 	// The limit leaves room for the frames of chunks and for trailers.
 	e.conn.source.N = 2*e.pool.opts.MaxBodyBytes + maxHeadBytes
-	body, err := e.pool.readBody(resp.Body)
-	if err != nil && e.conn.source.N <= 0 {
+	body, err := e.pool.readBody(e.lease, resp)
+	if err != nil {
+		// Otherwise closing the body reads it to its end.
+		_ = e.conn.Close()
+	}
+	if err != nil && e.conn.source.N <= 0 || errors.Is(err, quota.ErrTooLarge) {
 		return nil, ErrBodyTooLarge
 	}
 	if err != nil {
@@ -399,11 +429,11 @@
 }
 
 // readBody reads a body within the limits of one body and of all bodies that
-// the pool reads at the same time.
-func (p *Pool) readBody(r io.Reader) ([]byte, error) {
-	m := &meteredReader{source: r, pool: p}
+// the pool reads at the same time, and within the lease.
+func (p *Pool) readBody(l *quota.Lease, resp *http.Response) ([]byte, error) {
+	m := &meteredReader{source: resp.Body, pool: p}
 	defer func() { p.bodyBytes.Add(-m.read) }()
-	return io.ReadAll(m)
+	return l.ReadAll(quota.Response, m, resp.ContentLength, p.opts.MaxBodyBytes)
 }
 
 // meteredReader counts the bytes of one body and fails at a limit.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
@@ -123,6 +124,9 @@
 	switch {
 	case r.err == nil && bytes.Equal(r.response.GetId(), c.request.GetId()):
 		return r.response
+	case errors.Is(r.err, quota.ErrTooLarge):
+		// The exit has answered, and this node can never store the response.
+		return c.unknown(wirepb.Reason_REASON_MEMORY)
 	case neverSent(r.err):
 		return &wirepb.CallResponse{
 			Id:      c.request.GetId(),
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -12,6 +12,7 @@
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/retry"
@@ -221,8 +222,10 @@
 	p.tried = append(p.tried, target.Member.Node)
 	p.entry.chooser.RecordSent(target.Member.Node, now)
 	p.entry.unfinished.Add(1)
+	lease := quota.FromContext(ctx).Retain()
 	go func() {
 		defer p.entry.unfinished.Done()
+		defer lease.Release()
 		resp := p.entry.run(ctx, target, msg)
 		result := copyResult{node: target.Member.Node, response: resp, latency: mono.Now().Sub(now)}
 		p.emitAttemptEnded(msg, result)
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/retry"
@@ -28,9 +29,6 @@
 	dialTimeout = time.Second
 )
 
-// errBodyTooLarge reports a response body above the limit.
-var errBodyTooLarge = errors.New("upstream response body exceeds the size limit")
-
 // dispatcher sends admitted requests to the upstream over HTTP.
 type dispatcher struct {
 	client       *http.Client
@@ -102,11 +100,13 @@
 // readResponse reads the complete response. A truncated body makes the outcome
 // unknown, because the caller must not mistake it for a complete one.
 func (d *dispatcher) readResponse(ctx context.Context, req *wirepb.CallRequest, resp *http.Response) *wirepb.CallResponse {
-	body, err := readAll(resp.Body, d.maxBodyBytes)
-	if errors.Is(err, errBodyTooLarge) {
+	body, err := quota.FromContext(ctx).ReadAll(quota.Response, resp.Body, resp.ContentLength, d.maxBodyBytes)
+	switch {
+	case errors.Is(err, quota.ErrTooLarge):
 		return unknown(req, wirepb.Reason_REASON_SIZE)
-	}
-	if err != nil {
+	case errors.Is(err, quota.ErrFull):
+		return unknown(req, wirepb.Reason_REASON_MEMORY)
+	case err != nil:
 		return unknown(req, IncompleteReason(ctx))
 	}
 	return &wirepb.CallResponse{
@@ -118,17 +118,6 @@
 	}
 }
 
-func readAll(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, nil
-}
-
 // replayedMethods are the methods of requests that net/http retries by itself.
 var replayedMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
 
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -19,6 +19,7 @@
 	"github.com/cicadahall/cicadahall/fence"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
@@ -63,6 +64,9 @@
 	Node  ident.Node
 	// MaxBodyBytes is the maximum size of an upstream response body in bytes.
 	MaxBodyBytes int64
+	// MaxStoredBytes bounds the memory of the responses that are kept for
+	// repeated queries, in bytes; 0 means the default of package fence.
+	MaxStoredBytes int
 	// MaxQueued is the maximum number of requests waiting for a slot.
 	MaxQueued int
 	// MaxIdleConns is the maximum number of idle connections to the upstream.
@@ -100,6 +104,8 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	done    chan struct{}
+	// lease holds the memory of the request.
+	lease *quota.Lease
 	// slowPercent is the slowness reported for the upstream when the request
 	// was dispatched, in percent of its usual service time.
 	slowPercent int32
@@ -151,8 +157,8 @@
 	if o.HeartbeatTimeout <= 0 {
 		e.opts.HeartbeatTimeout = heartbeatTimeout
 	}
-	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{Start: o.Start, Size: responseSize})
-	e.keys = fence.NewKeys(fence.KeyOptions[*wirepb.CallResponse]{Self: o.Node, Size: responseSize}, nil, mono.Now())
+	e.fences = fence.New(fence.Options[*wirepb.CallResponse]{Start: o.Start, Bytes: o.MaxStoredBytes, Size: responseSize})
+	e.keys = fence.NewKeys(fence.KeyOptions[*wirepb.CallResponse]{Self: o.Node, Bytes: o.MaxStoredBytes, Size: responseSize}, nil, mono.Now())
 	e.limiter = e.newLimiter()
 	go func() {
 		defer close(e.tickEnded)
@@ -206,9 +212,10 @@
 }
 
 // Call runs one request or refuses it. If ctx ends first, it returns an unknown
-// outcome while the request continues.
+// outcome while the request continues. The response is charged to the lease of
+// ctx.
 func (e *Exit) Call(ctx context.Context, req *wirepb.CallRequest) *wirepb.CallResponse {
-	j, resp := e.accept(req)
+	j, resp := e.accept(req, quota.FromContext(ctx))
 	if resp != nil {
 		return e.withLoad(resp)
 	}
@@ -239,7 +246,7 @@
 
 // accept passes a request through its fence and the limiter. It returns either
 // a job to wait for or a final response.
-func (e *Exit) accept(req *wirepb.CallRequest) (*job, *wirepb.CallResponse) {
+func (e *Exit) accept(req *wirepb.CallRequest, lease *quota.Lease) (*job, *wirepb.CallResponse) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := mono.Now()
@@ -255,8 +262,8 @@
 	if resp := e.claimKey(req, now); resp != nil {
 		return nil, e.respondByKey(id, req, resp, now)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(now))
-	j := &job{id: id, request: req, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	ctx, cancel := context.WithTimeout(quota.NewContext(context.Background(), lease), deadline.Sub(now))
+	j := &job{id: id, request: req, ctx: ctx, cancel: cancel, done: make(chan struct{}), lease: lease.Retain()}
 	e.jobs[id] = j
 	e.unfinished.Add(1)
 	e.offer(j, deadline, now)
@@ -356,6 +363,7 @@
 	j.response = resp
 	j.cancel()
 	close(j.done)
+	j.lease.Release()
 	e.unfinished.Done()
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,7 @@
 // starts of the upstream.
 //
 // Locks are acquired in this order: gossip transport, exit, operatorState,
-// rollouts, membership, watcher, entry.
+// rollouts, membership, watcher, entry, quota.
 package fleet
 
 import (
@@ -18,6 +18,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/admin"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/entry"
 	"github.com/cicadahall/cicadahall/internal/exit"
 	"github.com/cicadahall/cicadahall/internal/mono"
@@ -38,7 +40,7 @@
 
 const (
 	// maxBodyBytes bounds the body of a message between nodes. No configuration
-	// in use allows a larger body.
+	// in use allows a larger body. All bodies together are bounded by the quota.
 	maxBodyBytes = 64 << 20
 	// maxInflightRequests bounds the concurrent requests at the entry.
 	maxInflightRequests = 4096
@@ -70,6 +72,7 @@
 	logQueue   *event.Queue
 	metrics    metrics.Registry
 	store      *platform.Store
+	quota      *quota.Quota
 	exit       *exit.Exit
 	entry      *entry.Entry
 	pool       *peer.Pool
@@ -102,6 +105,7 @@
 	level, _ := event.ParseLevel(string(o.Settings.Log))
 	n.log = event.New(event.Options{Node: o.Settings.Node, Start: n.start, Level: level, Output: event.Output(n.logQueue), RingSize: eventBufferSize})
 	n.store = platform.NewStore(o.Settings.Store.Address, platform.StoreOptions{CountCall: n.countStoreCall, OnUnreadable: n.rejectRow})
+	n.quota = n.newQuota()
 	n.rollouts = newRollouts(n)
 	n.watcher = newWatcher(n)
 	n.operator = newOperatorState(n)
@@ -112,11 +116,40 @@
 	n.frontend = newFrontend(n)
 	if err := n.openPorts(); err != nil {
 		n.exit.Close()
+		n.quota.Close()
 		return nil, errors.Join(err, n.logQueue.Close())
 	}
 	return n, nil
 }
 
+const (
+	// quotaDivisor sets the part of the process's memory for requests in
+	// progress, storedDivisor the one for responses kept by the exit. The rest
+	// is for the program, its tables and garbage.
+	quotaDivisor  = 2
+	storedDivisor = 16
+)
+
+// memory returns the memory of the process.
+func (n *Node) memory() quota.Bytes {
+	return quota.Bytes(n.settings.Memory * bytesPerMegabyte)
+}
+
+const bytesPerMegabyte = 1_000_000
+
+func (n *Node) newQuota() *quota.Quota {
+	q := quota.New(quota.Options{
+		Limit:     n.memory() / quotaDivisor,
+		Collect:   runtime.GC,
+		OnRefusal: func(k quota.Kind, _ error) { n.counter("memory.refused." + k.String()).Inc(1) },
+	})
+	for _, k := range quota.Kinds() {
+		metrics.NewRegisteredFunctionalGauge("memory.bytes."+k.String(), n.metrics, func() int64 { return int64(q.Used(k)) })
+	}
+	metrics.NewRegisteredFunctionalGauge("memory.bytes.uncollected", n.metrics, func() int64 { return int64(q.Uncollected()) })
+	return q
+}
+
 // eventBufferSize is the number of events kept for the admin interface. At
 // about 200 bytes each they take 100 KB of memory.
 const eventBufferSize = 512
@@ -126,6 +159,7 @@
 		Start:            n.start,
 		Node:             n.settings.Node,
 		MaxBodyBytes:     maxBodyBytes,
+		MaxStoredBytes:   int(n.memory() / storedDivisor),
 		ReportsLoad:      true,
 		HeartbeatTimeout: maxMissedHeartbeats * n.settings.Heartbeat,
 		Send:             n.upstream.send,
@@ -268,6 +302,7 @@
 	err := s.Close()
 	n.exit.Close()
 	n.pool.Close()
+	n.quota.Close()
 	n.store.Close()
 	n.log.Emit(event.NodeStopped, event.NewField(event.Elapsed, time.Since(startedAt)), event.NewField(event.Count, aborted))
 	_ = n.logQueue.Close() // Close never fails
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -98,7 +98,7 @@
 		Heartbeat: time.Second, Grace: 3 * time.Second,
 		Budget:   spec.SidecarBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Exposure: spec.SidecarExposure{Share: 0.1, Slack: 50}, Cold: spec.SidecarCold{Overage: 1.5, Slack: 5},
-		Probes: 60, Log: spec.Info,
+		Probes: 60, Memory: 128, Log: spec.Info,
 	}}
 	c.start(n)
 	c.announce(n)
@@ -159,8 +159,12 @@
 
 // send sends one request through a node.
 func (c *cluster) send(n *testNode, method, path string) response {
+	return c.sendBody(n, method, path, nil)
+}
+
+func (c *cluster) sendBody(n *testNode, method, path string, body io.Reader) response {
 	id := fmt.Sprintf("q%d", c.nextID.Add(1))
-	r, err := http.NewRequest(method, "http://"+n.settings.Listen.Callers+path, nil)
+	r, err := http.NewRequest(method, "http://"+n.settings.Listen.Callers+path, body)
 	assert.NilError(c.t, err)
 	r.Host = "shop.example"
 	r.Header.Set("X-Request-Id", id)
--- a/internal/fleet/frontend.go
+++ b/internal/fleet/frontend.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,6 +13,7 @@
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/entry"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/platform"
@@ -56,6 +57,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	in := platform.ParseCallerHeaders(r.Header)
+	lease, err := f.node.quota.NewLease()
+	if err != nil {
+		f.refuse(w, in, "memory", minRetryAfter)
+		return
+	}
+	defer lease.Release()
 	t := f.node.operator.table()
 	if t == nil {
 		f.refuse(w, in, "no configuration", minRetryAfter)
@@ -66,64 +73,96 @@
 		f.fail(w, in, http.StatusNotFound, "no route", startedAt, "")
 		return
 	}
-	body, status := f.readBody(w, r, t)
-	if status != 0 {
-		f.fail(w, in, status, "body", startedAt, rule.Name)
+	q := &inbound{writer: w, request: r, headers: in, rule: rule, lease: lease, startedAt: startedAt}
+	q.timeout = q.effectiveTimeout()
+	body, err := q.readBody(int64(t.Limits.MaxBodyBytes))
+	if err != nil {
+		f.rejectBody(q, err)
 		return
 	}
-	f.forward(w, r, in, rule, body, startedAt)
+	f.forward(q, body)
+}
+
+// inbound is a request of a caller.
+type inbound struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	headers platform.CallerHeaders
+	rule    route.Rule
+	lease   *quota.Lease
+	// timeout is the time from startedAt in which the caller expects a response.
+	timeout   time.Duration
+	startedAt time.Time
+}
+
+// effectiveTimeout returns the shorter one of the caller's and the operator's
+// timeouts.
+func (q *inbound) effectiveTimeout() time.Duration {
+	timeout := q.headers.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if q.rule.Timeout > 0 {
+		timeout = min(timeout, q.rule.Timeout)
+	}
+	return timeout
 }
 
-// readBody returns the request's body, or the response status if it can't be
-// read or is too large.
-func (f *frontend) readBody(w http.ResponseWriter, r *http.Request, t *route.Table) ([]byte, int) {
-	limit := int64(t.Limits.MaxBodyBytes)
+// readBody returns the request's body of at most limit bytes; 0 means
+// maxBodyBytes. A caller that stops sending a body must not hold its memory
+// beyond the timeout.
+func (q *inbound) readBody(limit int64) ([]byte, error) {
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
+	length := q.request.ContentLength
+	if length >= 0 && length <= quota.ReceiveBuffer {
+		return q.lease.ReadAll(quota.Body, q.request.Body, length, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
+	control := http.NewResponseController(q.writer)
+	_ = control.SetReadDeadline(q.startedAt.Add(q.timeout)) // supported by net/http
+	body, err := q.lease.ReadAll(quota.Body, q.request.Body, length, limit)
+	_ = control.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+// rejectBody responds to a request whose body can't be read or stored.
+func (f *frontend) rejectBody(q *inbound, err error) {
 	switch {
-	case errors.As(err, &large):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
+	case errors.Is(err, quota.ErrFull):
+		f.refuse(q.writer, q.headers, "memory", minRetryAfter)
+	case errors.Is(err, quota.ErrTooLarge):
+		f.fail(q.writer, q.headers, http.StatusRequestEntityTooLarge, "body size", q.startedAt, q.rule.Name)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.fail(q.writer, q.headers, http.StatusRequestTimeout, "body late", q.startedAt, q.rule.Name)
+	default:
+		f.fail(q.writer, q.headers, http.StatusBadRequest, "body", q.startedAt, q.rule.Name)
 	}
-	return body, 0
 }
 
-func (f *frontend) forward(w http.ResponseWriter, r *http.Request, in platform.CallerHeaders, rule route.Rule, body []byte, startedAt time.Time) {
-	timeout := in.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if rule.Timeout > 0 {
-		timeout = min(timeout, rule.Timeout)
-	}
-	timeout = max(time.Millisecond, timeout-deadlineMargin-time.Since(startedAt))
+func (f *frontend) forward(q *inbound, body []byte) {
+	r := q.request
+	timeout := max(time.Millisecond, q.timeout-deadlineMargin-time.Since(q.startedAt))
 	platform.StripReservedHeaders(r.Header)
 	id := ident.NewRequest(rand.Uint64(), rand.Uint64())
 	req := entry.Request{
-		Service:     f.chooseService(rule),
-		Route:       rule.Name,
+		Service:     f.chooseService(q.rule),
+		Route:       q.rule.Name,
 		Caller:      f.callerService(),
-		Idempotent:  rule.Idempotent,
-		MaxAttempts: rule.MaxAttempts,
+		Idempotent:  q.rule.Idempotent,
+		MaxAttempts: q.rule.MaxAttempts,
 		Timeout:     timeout,
-		Objective:   rule.Objective - time.Since(startedAt),
-		Priority:    rule.Priority,
+		Objective:   q.rule.Objective - time.Since(q.startedAt),
+		Priority:    q.rule.Priority,
 		Host:        r.Host,
 		Method:      r.Method,
 		Path:        r.RequestURI,
 		Header:      r.Header,
 		Body:        body,
 	}
-	resp := f.node.entry.Place(r.Context(), id, req)
-	f.writeResponse(w, r, in, resp, timeout-time.Since(startedAt))
-	f.recordOutcome(in, id, req, resp, startedAt)
+	resp := f.node.entry.Place(quota.NewContext(r.Context(), q.lease), id, req)
+	f.writeResponse(q, resp, timeout-time.Since(q.startedAt))
+	f.recordOutcome(q.headers, id, req, resp, q.startedAt)
 }
 
 // chooseService returns the service for a request, by weight if the rule splits
@@ -140,22 +179,31 @@
 	return f.node.settings.Service
 }
 
-func (f *frontend) writeResponse(w http.ResponseWriter, r *http.Request, in platform.CallerHeaders, resp *wirepb.CallResponse, remaining time.Duration) {
+func (f *frontend) writeResponse(q *inbound, resp *wirepb.CallResponse, remaining time.Duration) {
 	switch resp.GetOutcome() {
 	case wirepb.Outcome_OUTCOME_RAN:
-		writeUpstreamResponse(w, r.Method, resp)
+		if len(resp.GetBody()) > quota.ReceiveBuffer {
+			control := http.NewResponseController(q.writer)
+			_ = control.SetWriteDeadline(time.Now().Add(max(0, remaining) + writeTimeout)) // supported by net/http
+			defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+		}
+		writeUpstreamResponse(q.writer, q.request.Method, resp)
 	case wirepb.Outcome_OUTCOME_REFUSED:
 		retryAfter := max(minRetryAfter, time.Duration(resp.GetRetryNanos()))
-		platform.WriteRefusal(w, in.RequestID, min(retryAfter, max(0, remaining)/retryAfterDivisor))
+		platform.WriteRefusal(q.writer, q.headers.RequestID, min(retryAfter, max(0, remaining)/retryAfterDivisor))
 	default:
 		status := http.StatusBadGateway
 		if resp.GetReason() == wirepb.Reason_REASON_LATE {
 			status = http.StatusGatewayTimeout
 		}
-		platform.WriteFailure(w, in.RequestID, status)
+		platform.WriteFailure(q.writer, q.headers.RequestID, status)
 	}
 }
 
+// writeTimeout is the time after a request's timeout until which a caller may
+// read a large response.
+const writeTimeout = 5 * time.Second
+
 // writeUpstreamResponse copies an upstream's response to the caller. It sets
 // Content-Length so that the caller can detect a truncated body if the
 // connection breaks.
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -11,6 +11,7 @@
 	"github.com/samber/oops"
 
 	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/internal/conns"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/platform"
 )
@@ -56,7 +57,7 @@
 		newServer     func() *http.Server
 	}{
 		{"peers", l.Peers, false, func() *http.Server {
-			return peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes})
+			return peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes, Quota: n.quota})
 		}},
 		{"admin", l.Admin, true, func() *http.Server { return newHTTPServer(n.adminHandler()) }},
 		{"beats", l.Beats, false, func() *http.Server {
@@ -73,7 +74,7 @@
 		if p.address == "" && p.optional {
 			continue
 		}
-		listener, err := net.Listen("tcp", p.address)
+		listener, err := conns.Listen("tcp", p.address)
 		if err != nil && p.optional {
 			// The deploy file fixes the port of the metrics, which may be
 			// taken; a node without metrics can still serve.
@@ -106,7 +107,7 @@
 	p.initial = nil
 	if listener == nil {
 		var err error
-		if listener, err = net.Listen("tcp", p.address); err != nil {
+		if listener, err = conns.Listen("tcp", p.address); err != nil {
 			return oops.With("step", "listen", "peer", p.address).Wrap(err)
 		}
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
 	"github.com/cicadahall/cicadahall/internal/conns"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/exit"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
@@ -298,6 +299,9 @@
 	default:
 		resp.Outcome = wirepb.Outcome_OUTCOME_UNKNOWN
 		resp.Reason = exit.IncompleteReason(ctx)
+		if errors.Is(reply.Err, quota.ErrFull) {
+			resp.Reason = wirepb.Reason_REASON_MEMORY
+		}
 	}
 	return resp
 }
--- a/internal/peer/interim.go
+++ b/internal/peer/interim.go
@@ -51,6 +51,11 @@
 	return iw.header
 }
 
+// Unwrap returns the writer of the connection, for http.ResponseController.
+func (iw *interimWriter) Unwrap() http.ResponseWriter {
+	return iw.writer
+}
+
 // WriteHeader starts the final response unless it has already started.
 func (iw *interimWriter) WriteHeader(status int) {
 	iw.mu.Lock()
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,17 +5,20 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/samber/oops"
 
 	"github.com/cicadahall/cicadahall/internal/conns"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
@@ -45,6 +48,9 @@
 type Options struct {
 	// MaxBodyBytes is the maximum size of a request or response body in bytes.
 	MaxBodyBytes int64
+	// Quota bounds the memory of the requests that a server handles at one time;
+	// nil means no bound. A pool charges responses to the lease of their context.
+	Quota *quota.Quota
 }
 
 // Pool holds the connections to all peers. It is safe for concurrent use.
@@ -62,6 +68,17 @@
 	// latency.
 	control wirepb.PeerClient
 	plain   wirepb.PeerClient
+	// connectUntil is the time until which requests are sent to plain, since the
+	// peer, of an earlier release, doesn't know frames. In nanoseconds.
+	connectUntil atomic.Int64
+}
+
+// frameRetryInterval is the time after which frames are tried again with a peer
+// that didn't know them.
+const frameRetryInterval = 10 * time.Second
+
+func (pc *peerConn) usesFrames() bool {
+	return mono.Now().UnixNano() >= pc.connectUntil.Load()
 }
 
 // NewPool returns a pool without connections.
@@ -135,19 +152,37 @@
 		},
 	}
 	req.LeftNanos = remainingNanos(req.GetDeadlineNanos())
-	resp, err := p.peer(address).plain.Call(httptrace.WithClientTrace(ctx, trace), req)
+	pc := p.peer(address)
+	resp, err := p.call(httptrace.WithClientTrace(ctx, trace), pc, address, req)
+	if errors.Is(err, errBusy) {
+		return &wirepb.CallResponse{Id: req.GetId(), Outcome: wirepb.Outcome_OUTCOME_REFUSED, Reason: wirepb.Reason_REASON_MEMORY}, nil
+	}
 	if err != nil {
 		return nil, oops.With("step", "call", "peer", address).Wrap(err)
 	}
 	return resp, nil
 }
 
+func (p *Pool) call(ctx context.Context, pc *peerConn, address string, req *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	if pc.usesFrames() {
+		resp, err := p.exchange(ctx, pc.transport, "http://"+address+callPath, req, req.GetBody())
+		if !errors.Is(err, errNoFrames) {
+			return resp, err
+		}
+		pc.connectUntil.Store(mono.Now().Add(frameRetryInterval).UnixNano())
+	}
+	return pc.plain.Call(ctx, req)
+}
+
 // Resolve queries the outcome of a request over a new connection.
 func (p *Pool) Resolve(ctx context.Context, address string, req *wirepb.ResolveRequest) (*wirepb.CallResponse, error) {
 	t := newTransport()
 	t.DisableKeepAlives = true
 	req.LeftNanos = remainingNanos(req.GetDeadlineNanos())
-	resp, err := p.client(t, address).Resolve(ctx, req)
+	resp, err := p.exchange(ctx, t, "http://"+address+resolvePath, req, nil)
+	if errors.Is(err, errNoFrames) {
+		resp, err = p.client(t, address).Resolve(ctx, req)
+	}
 	if err != nil {
 		return nil, oops.With("step", "resolve", "peer", address).Wrap(err)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/mono"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
@@ -25,14 +27,25 @@
 // long-running Call with an interim 102 response, by which the entry node
 // distinguishes a slow request from an unresponsive connection.
 func NewServer(h wirepb.PeerHandler, o Options) *http.Server {
-	path, handler := wirepb.NewPeerHandler(&deadlineHandler{PeerHandler: h},
-		connect.WithReadMaxBytes(int(o.MaxBodyBytes)+messageOverhead),
+	withDeadlines := &deadlineHandler{PeerHandler: h}
+	path, connectHandler := wirepb.NewPeerHandler(withDeadlines,
+		connect.WithReadMaxBytes(maxControlBytes),
 		connect.WithCompression(gzipName, newDecompressor, newCompressor),
 		connect.WithCompressMinBytes(minCompressBytes),
-		connect.WithConditionalHandlerOptions(disableCompression))
+		connect.WithConditionalHandlerOptions(disableCompression),
+		connect.WithConditionalHandlerOptions(func(s connect.Spec) []connect.HandlerOption {
+			if s.Procedure != wirepb.PeerCallProcedure {
+				return nil
+			}
+			return []connect.HandlerOption{connect.WithReadMaxBytes(int(o.MaxBodyBytes) + messageOverhead)}
+		}))
+	handler := chargeMessages(o.Quota, connectHandler)
+	frames := &frameServer{options: o, handler: withDeadlines}
 	serveMux := http.NewServeMux()
 	serveMux.Handle(path, handler)
 	serveMux.HandleFunc(wirepb.PeerCallProcedure, withInterimResponse(handler))
+	serveMux.HandleFunc(callPath, withInterimResponse(http.HandlerFunc(frames.serveCall)))
+	serveMux.HandleFunc(resolvePath, frames.serveResolve)
 	return &http.Server{
 		Handler:           serveMux,
 		ReadHeaderTimeout: headerTimeout,
@@ -40,6 +53,43 @@
 	}
 }
 
+// maxControlBytes bounds a message that carries no request, in bytes.
+const maxControlBytes = 8 << 20
+
+// messageCopies is the number of times that connect-go stores a message while it
+// reads and decodes it.
+const messageCopies = 4
+
+// chargeMessages charges the messages that handler reads.
+func chargeMessages(q *quota.Quota, handler http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		lease, err := q.NewLease()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		defer lease.Release()
+		charged := r.WithContext(quota.NewContext(r.Context(), lease))
+		charged.Body = &chargedBody{ReadCloser: r.Body, lease: lease}
+		handler.ServeHTTP(w, charged)
+	}
+}
+
+// chargedBody charges the copies of what is read before it returns it.
+type chargedBody struct {
+	io.ReadCloser
+	lease *quota.Lease
+}
+
+// Read reads and charges the next bytes.
+func (b *chargedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if growErr := b.lease.Grow(quota.Body, messageCopies*quota.Bytes(n)); growErr != nil {
+		return 0, growErr
+	}
+	return n, err
+}
+
 // disableCompression disables the compression of responses to Call and Resolve,
 // which took a fifth of the CPU time of a call with two hops.
 func disableCompression(s connect.Spec) []connect.HandlerOption {
--- a/internal/spec/sidecar.go
+++ b/internal/spec/sidecar.go
@@ -24,9 +24,13 @@
 	Exposure  SidecarExposure `json:"exposure" spec:"optional" doc:"Limit of requests to a new version before it is known to work, over all nodes."`
 	Cold      SidecarCold     `json:"cold" spec:"optional" doc:"Limit of requests to a cold upstream."`
 	Probes    float64         `json:"probes" spec:"default=60,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second."`
+	Memory    Megabytes       `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
 	Log       Level           `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
 }
 
+// Megabytes is an amount of memory in units of 1,000,000 bytes.
+type Megabytes float64
+
 // SidecarListen holds the addresses of the node's listeners.
 type SidecarListen struct {
 	Callers string `json:"callers" spec:"form=address" doc:"HTTP for callers."`
