fleet: trust late heartbeats after a restart only with a proof

Cause: departures are known to the process only. After a restart, the first heartbeat needed a confirmation by the health check, and any further one was trusted without, although the check went on failing. Evidence: two late heartbeats of a worker that has left; the first is logged as beat-rejected, the second announces the upstream.

Change: an incarnation is trusted once its health check has confirmed it, or when the process has run for longer than a heartbeat may be late (eight intervals, the bound that exists for missing heartbeats). A worker that leaves fails its health check, so the rule holds without a record that is written before each acknowledgement. Ruled out: a row in the store for each departure, which can't be written while the store is down, when the acknowledgement binds as well.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -140,6 +140,17 @@
 	return a.StatusCode
 }
 
+// depart sends the message that an upstream leaves and returns the response
+// status.
+func (c *cluster) depart(n *testNode) int {
+	r, err := http.NewRequest(http.MethodDelete, "http://"+n.settings.Listen.Beats+"/api/instances/"+n.upstream.Instance, nil)
+	assert.NilError(c.t, err)
+	a, err := http.DefaultClient.Do(r)
+	assert.NilError(c.t, err)
+	defer func() { _ = a.Body.Close() }()
+	return a.StatusCode
+}
+
 func (c *cluster) await(condition string, holds func() bool) {
 	c.t.Helper()
 	for end := time.Now().Add(awaitTimeout); ; time.Sleep(20 * time.Millisecond) {
@@ -272,12 +283,7 @@
 	n.upstream.SetUnhealthy(true)
 	c.start(n)
 	c.await("the node to serve callers", func() bool { return c.send(n, http.MethodGet, "/read/x").status == http.StatusOK })
-	r, err := http.NewRequest(http.MethodDelete, "http://"+n.settings.Listen.Beats+"/api/instances/"+n.upstream.Instance, nil)
-	assert.NilError(t, err)
-	a, err := http.DefaultClient.Do(r)
-	assert.NilError(t, err)
-	assert.NilError(t, a.Body.Close())
-	assert.Equal(t, a.StatusCode, http.StatusOK)
+	assert.Equal(t, c.depart(n), http.StatusOK)
 	before := n.upstream.Total()
 	c.putHeartbeat(n, n.upstream.Instance, late(900))
 	c.putHeartbeat(n, n.upstream.Instance, late(901))
@@ -287,6 +293,30 @@
 	assert.Equal(t, n.upstream.Total(), before)
 }
 
+// Guards against late heartbeats, however many, that make an upstream ready
+// again although its departure was acknowledged before a restart of the node.
+func TestDepartureOutlastsRestart(t *testing.T) {
+	c := newCluster(t, 2, serveSlowly)
+	n := c.nodes[0]
+	assert.Equal(t, c.depart(n), http.StatusOK)
+	n.upstream.SetUnhealthy(true)
+	n.stop()
+	assert.NilError(t, <-n.ended)
+	before := n.upstream.Total()
+	c.start(n)
+	for range 5 {
+		c.sendBeat(n, "ready")
+		c.reachedUpstreams(c.nodes[1])
+		c.reachedUpstreams(n)
+	}
+	assert.Equal(t, n.upstream.Total(), before)
+	n.upstream.SetUnhealthy(false)
+	c.await("an upstream that isn't leaving to be used again", func() bool {
+		c.reachedUpstreams(c.nodes[1])
+		return n.upstream.Total() > before
+	})
+}
+
 // Guards against an older configuration that replaces a newer one, and against
 // an invalid configuration that replaces a valid one.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -63,9 +64,8 @@
 	current      incarnation
 	lastSequence int64
 	lastBeatAt   time.Time
-	// acceptedBeats counts the heartbeats that passed checkBeat since the start
-	// of the process.
-	acceptedBeats int
+	// confirmed is the incarnation that a health check has confirmed.
+	confirmed incarnation
 	// unconfirmed is the latest heartbeat that wasn't trusted.
 	unconfirmed  *platform.Heartbeat
 	departed     []incarnation
@@ -87,7 +87,7 @@
 var (
 	errOtherAddress = errors.New("heartbeat of an upstream at another address than the one beside this node")
 	errDeparted     = errors.New("heartbeat of an upstream that has left")
-	errUnconfirmed  = errors.New("first heartbeat since the start of the node is not confirmed by a health check")
+	errUnconfirmed  = errors.New("heartbeat of an upstream that may have left before the start of the node, not confirmed by a health check")
 	errStale        = errors.New("heartbeat is older than a previous one")
 )
 
@@ -164,23 +164,40 @@
 	}
 }
 
+// trustDelay is the time after the start of the process from which heartbeats
+// need no confirmation. One that was sent before the start arrives earlier: no
+// heartbeat is as late as one that counts as missing.
+func (u *upstream) trustDelay() time.Duration {
+	return maxMissedHeartbeats * u.node.settings.Heartbeat
+}
+
 // isTrusted reports whether a heartbeat proves that the upstream accepts
-// requests. The first heartbeat after a start of this process may be a late one
-// of an upstream whose departure the previous process has acknowledged. It is
-// trusted only if the upstream's health check confirms it; otherwise the next
-// heartbeat is.
+// requests. The heartbeats that arrive after a start of this process may be late
+// ones of an upstream whose departure the previous process has acknowledged.
+// They prove nothing, however many they are, until the upstream's own health
+// check says that it isn't leaving.
 func (u *upstream) isTrusted(b platform.Heartbeat) bool {
+	id := incarnation{b.Instance, b.BornMillis}
 	u.mu.Lock()
-	established := u.acceptedBeats > 1
+	confirmed := u.confirmed == id
 	u.mu.Unlock()
+	if confirmed || time.Since(u.node.startedAt) > u.trustDelay() {
+		return true
+	}
 	t := u.node.operator.table()
-	if established || t == nil {
-		return established
+	if t == nil {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 	defer cancel()
 	health, err := platform.CheckHealth(ctx, u.probePool, b.Address, t.Services[b.Service].HealthPath)
-	return err == nil && health.Healthy && (health.Instance == "" || health.Instance == b.Instance)
+	if err != nil || !health.Healthy || health.Instance != "" && health.Instance != b.Instance {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.confirmed = id
+	return true
 }
 
 // checkBeat checks the order of heartbeats: within an incarnation by sequence
@@ -194,10 +211,8 @@
 	}
 	id := incarnation{b.Instance, b.BornMillis}
 	now := time.Now()
-	for _, d := range u.departed {
-		if d == id || d.instance == id.instance && id.bornMillis <= d.bornMillis {
-			return errDeparted
-		}
+	if u.hasDeparted(id) {
+		return errDeparted
 	}
 	if id == u.current {
 		if b.Sequence <= u.lastSequence {
@@ -211,10 +226,16 @@
 		u.probePool.CloseIdle()
 	}
 	u.current, u.lastSequence, u.lastBeatAt = id, b.Sequence, now
-	u.acceptedBeats++
 	return nil
 }
 
+// hasDeparted reports whether an incarnation has left. The caller must hold mu.
+func (u *upstream) hasDeparted(id incarnation) bool {
+	return slices.ContainsFunc(u.departed, func(d incarnation) bool {
+		return d.instance == id.instance && id.bornMillis <= d.bornMillis
+	})
+}
+
 // supersedeBeats is the number of heartbeat intervals without a heartbeat of
 // the current upstream after which one with an earlier start time replaces it.
 // Start times come from the wall clock, which may step back.
