fleet, exit: let no heartbeat undo a departure that overtakes it

A worker's first heartbeat after a start of the node waits for a health check. A departure that was acknowledged meanwhile was undone by it: callers' requests ran at a worker that had left.

Cause: the heartbeat was checked against the departures before the health check and applied after it. Besides, the first heartbeat of a draining worker announced it as ready and drained it in a second step, between which requests were admitted.

Change: departures are checked again where the heartbeat is applied, under the lock that records them, and an announcement carries the draining state.

--- a/internal/exit/upstream.go
+++ b/internal/exit/upstream.go
@@ -23,7 +23,8 @@
 	Start ident.Start
 	// Ready is false before the first announcement and after a withdrawal.
 	Ready bool
-	// Draining is set once the upstream has requested to be drained.
+	// Draining is set once the upstream has requested to be drained. It stays set
+	// until another start is announced.
 	Draining bool
 
 	lastHeartbeat time.Time
@@ -37,7 +38,8 @@
 }
 
 // Announce records an announcement or heartbeat of the upstream. A new start
-// identity marks the upstream as cold, regardless of its earlier state.
+// identity marks the upstream as cold, regardless of its earlier state. An
+// upstream that is announced as draining gets no request.
 func (e *Exit) Announce(u Upstream) {
 	if e.announce(u, mono.Now()) {
 		e.opts.OnUpstreamChange()
@@ -50,7 +52,8 @@
 	previous := e.upstream
 	u.Ready = true
 	u.lastHeartbeat = now
-	u.Draining = previous.Draining && previous.Start == u.Start
+	drained := u.Draining
+	u.Draining = drained || previous.Draining && previous.Start == u.Start
 	e.upstream = u
 	if previous.Ready && previous.equalAnnouncement(u) {
 		return false
@@ -71,6 +74,9 @@
 		event.NewField(event.Service, u.Service),
 		event.NewField(event.Version, u.Version),
 		event.NewField(event.Slots, u.Slots))
+	if drained && !previous.Draining {
+		e.drainUpstream(now)
+	}
 	return true
 }
 
@@ -83,13 +89,18 @@
 // drained.
 func (e *Exit) DrainUpstream() {
 	e.mu.Lock()
-	e.stopAdmission(mono.Now())
-	e.upstream.Draining = true
-	e.opts.Emit(event.UpstreamDrained, event.NewField(event.Service, e.upstream.Service), event.NewField(event.Version, e.upstream.Version))
+	e.drainUpstream(mono.Now())
 	e.mu.Unlock()
 	e.opts.OnUpstreamChange()
 }
 
+// drainUpstream stops admitting requests. The caller must hold mu.
+func (e *Exit) drainUpstream(now time.Time) {
+	e.stopAdmission(now)
+	e.upstream.Draining = true
+	e.opts.Emit(event.UpstreamDrained, event.NewField(event.Service, e.upstream.Service), event.NewField(event.Version, e.upstream.Version))
+}
+
 // WithdrawUpstream marks the upstream as not ready until its next announcement.
 func (e *Exit) WithdrawUpstream() {
 	e.mu.Lock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -317,6 +317,35 @@
 	})
 }
 
+// Guards against a departure that is acknowledged while the first heartbeat is
+// being confirmed, and that the heartbeat then undoes.
+func TestDepartureDuringConfirmation(t *testing.T) {
+	c := newCluster(t, 2, serveSlowly)
+	n := c.nodes[0]
+	n.stop()
+	assert.NilError(t, <-n.ended)
+	c.start(n)
+	c.await("the node to serve callers", func() bool { return c.send(n, http.MethodGet, "/read/x").status == http.StatusOK })
+	checked, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	n.upstream.SetOnHealthCheck(func() {
+		once.Do(func() {
+			close(checked)
+			<-release
+		})
+	})
+	beat := make(chan int)
+	go func() { beat <- c.sendBeat(n, "ready") }()
+	<-checked
+	assert.Equal(t, c.depart(n), http.StatusOK)
+	before := n.upstream.Total()
+	close(release)
+	<-beat
+	c.reachedUpstreams(n)
+	c.reachedUpstreams(c.nodes[1])
+	assert.Equal(t, n.upstream.Total(), before)
+}
+
 // Guards against an older configuration that replaces a newer one, and against
 // an invalid configuration that replaces a valid one.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -124,27 +124,32 @@
 	u.node.log.Emit(event.HeartbeatRejected, event.NewField(event.Instance, instance), event.NewField(event.Address, address), event.NewField(event.Error, err))
 }
 
-// acceptBeat applies a heartbeat to the exit.
+// acceptBeat applies a heartbeat to the exit, unless the upstream has left since
+// the heartbeat was checked.
 func (u *upstream) acceptBeat(b platform.Heartbeat) {
+	id := incarnation{b.Instance, b.BornMillis}
 	u.mu.Lock()
 	u.unconfirmed = nil
+	left := u.hasDeparted(id)
+	if !left {
+		u.node.exit.Announce(exit.Upstream{
+			Service:  b.Service,
+			Version:  b.Version,
+			Slots:    b.Slots,
+			Instance: b.Instance,
+			Address:  b.Address,
+			Start:    id.startID(),
+			Draining: b.Draining,
+		})
+	}
 	u.mu.Unlock()
-	id := incarnation{b.Instance, b.BornMillis}
-	u.node.exit.Announce(exit.Upstream{
-		Service:  b.Service,
-		Version:  b.Version,
-		Slots:    b.Slots,
-		Instance: b.Instance,
-		Address:  b.Address,
-		Start:    id.startID(),
-	})
+	if left {
+		return
+	}
 	u.node.operator.updateColdLimit()
 	if b.ColdRemaining > 0 {
 		u.node.exit.ReportLoad(b.Instance, admit.LoadReport{HasColdRemaining: true, ColdRemaining: b.ColdRemaining})
 	}
-	if b.Draining && !u.node.exit.Upstream().Draining {
-		u.node.exit.DrainUpstream()
-	}
 }
 
 // retryUnconfirmed checks an untrusted heartbeat again. The first check may
