super: drain the node before its tasks are stopped for a failure

Cause: after a task's sixth failure within a minute the supervisor stopped all others at once, the callers' and the peers' ports first; the node drained only afterwards.

Change: Options.BeforeStop is called after the last failure and before the first stop. Both kinds of node drain there as after SIGTERM, once. node-draining says whether a signal or a failure was the reason.

TestFailureAbortsNoRequest (status 0 instead of 200) and TestBeforeStopPrecedesStops fail before and pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,7 @@
 	frontend   *frontend
 	ports      []*port
 	draining   atomic.Bool
+	drainOnce  sync.Once
 	rejected   rejectedRows
 }
 
@@ -260,7 +262,7 @@
 	for _, p := range n.ports {
 		children = append(children, super.Child{Name: p.name, Run: p.Run})
 	}
-	s := super.New(super.Options{Children: children, Emit: n.log.Emit})
+	s := super.New(super.Options{Children: children, Emit: n.log.Emit, BeforeStop: func() { n.drain("failure") }})
 	select {
 	case <-s.Done():
 	case <-ctx.Done():
@@ -281,23 +283,32 @@
 	drainPollInterval = 20 * time.Millisecond
 )
 
-// close drains and stops the node. During drainDelay it serves all requests and
-// answers with "Connection: close"; then it accepts no new ones and stops as
-// soon as no request is in progress. Requests still in progress when the grace
+// drain lets the node finish its work; only the first call has an effect. During
+// drainDelay the node serves all requests and answers with "Connection: close";
+// then it accepts no new ones, until no request is in progress or the grace
+// period ends.
+func (n *Node) drain(reason string) {
+	n.drainOnce.Do(func() {
+		startedAt := time.Now()
+		n.log.Emit(event.NodeDraining, event.NewField(event.Reason, reason), event.NewField(event.Count, n.frontend.inProgress()))
+		n.draining.Store(true)
+		n.membership.announceLeave()
+		timeout := n.settings.Grace - killMargin
+		time.Sleep(min(drainDelay, timeout/2))
+		ctx, cancel := context.WithTimeout(context.Background(), timeout-time.Since(startedAt))
+		defer cancel()
+		n.stopAccepting(ctx)
+		for ctx.Err() == nil && (n.frontend.inProgress() > 0 || n.exit.Running() > 0) {
+			mono.Sleep(ctx, drainPollInterval)
+		}
+	})
+}
+
+// close drains and stops the node. Requests still in progress when the grace
 // period ends are aborted.
 func (n *Node) close(s *super.Supervisor) error {
 	startedAt := time.Now()
-	n.log.Emit(event.NodeDraining, event.NewField(event.Reason, "signal"), event.NewField(event.Count, n.frontend.inProgress()))
-	n.draining.Store(true)
-	n.membership.announceLeave()
-	drainTimeout := n.settings.Grace - killMargin
-	time.Sleep(min(drainDelay, drainTimeout/2))
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout-time.Since(startedAt))
-	defer cancel()
-	n.stopAccepting(ctx)
-	for ctx.Err() == nil && (n.frontend.inProgress() > 0 || n.exit.Running() > 0) {
-		mono.Sleep(ctx, drainPollInterval)
-	}
+	n.drain("signal")
 	aborted := n.frontend.inProgress()
 	err := s.Close()
 	n.exit.Close()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -452,6 +452,50 @@
 	n.ended <- nil
 }
 
+// Guards against a node that aborts the requests in progress when one of its
+// tasks fails for good.
+func TestFailureAbortsNoRequest(t *testing.T) {
+	c := newCluster(t, 1, serveFor(1500*time.Millisecond))
+	n := c.nodes[0]
+	n.stop()
+	assert.NilError(t, <-n.ended)
+	f, err := fleet.New(fleet.Options{Settings: n.settings, Reload: func() (*spec.Sidecar, error) { panic("broken") }})
+	assert.NilError(t, err)
+	reload := make(chan struct{})
+	go func() { n.ended <- f.Run(context.Background(), reload) }()
+	c.announce(n)
+	c.await("the node to serve callers", func() bool { return c.send(n, http.MethodGet, "/read/x").status == http.StatusOK })
+	status := make(chan int)
+	go func() { status <- c.send(n, http.MethodPost, "/book/slow").status }()
+	time.Sleep(50 * time.Millisecond)
+	ended := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case reload <- struct{}{}:
+			case <-ended:
+				return
+			}
+		}
+	}()
+	got := <-status
+	err = <-n.ended
+	close(ended)
+	n.ended <- nil
+	assert.Equal(t, got, http.StatusOK)
+	assert.ErrorContains(t, err, "child settings")
+}
+
+// serveFor returns a handler that takes d for paths that end with "slow".
+func serveFor(d time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			time.Sleep(d)
+		}
+		serveSlowly(w, r)
+	}
+}
+
 // Guards against a non-idempotent request that runs twice, or is refused
 // although it ran, while upstreams break connections.
 func TestNonIdempotentRequestRunsAtMostOnce(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,7 @@
 	probes        *probes
 	ports         []*port
 	leaving       atomic.Bool
+	drainOnce     sync.Once
 }
 
 // New builds a node and opens its listeners, so that a port that is in use is an
@@ -177,7 +179,8 @@
 	for _, p := range n.ports {
 		children = append(children, super.Child{Name: p.name, Run: p.Run})
 	}
-	s := super.New(super.Options{Children: children, Emit: n.log.Emit})
+	drainCtx := context.WithoutCancel(ctx)
+	s := super.New(super.Options{Children: children, Emit: n.log.Emit, BeforeStop: func() { n.drain(drainCtx, "failure") }})
 	select {
 	case <-s.Ready():
 		n.log.Emit(event.NodeReady, event.NewField(event.Elapsed, time.Since(n.startTime)))
@@ -188,22 +191,30 @@
 	case <-s.Done():
 	case <-ctx.Done():
 	}
-	return n.drainAndClose(context.WithoutCancel(ctx), s)
+	return n.close(drainCtx, s)
 }
 
-// drainAndClose drains and closes the node. The order matters: first other nodes
-// stop selecting this node, then running requests end, then the listeners close,
-// the callers' listener first.
-func (n *Node) drainAndClose(ctx context.Context, s *super.Supervisor) error {
+// drain lets the node finish its work; only the first call has an effect. First
+// other nodes stop selecting this node, then running requests end. It returns the
+// number of requests that are still running.
+func (n *Node) drain(ctx context.Context, reason string) int {
+	n.drainOnce.Do(func() {
+		drainCtx, cancel := context.WithTimeout(ctx, n.settings.Drain)
+		defer cancel()
+		n.log.Emit(event.NodeDraining, event.NewField(event.Reason, reason), event.NewField(event.Count, n.exit.Running()))
+		n.leaving.Store(true)
+		n.roster.leave()
+		mono.Sleep(drainCtx, drainNotice)
+		n.exit.Drain(drainCtx)
+		n.workReporter.writeFinal(drainCtx)
+	})
+	return n.exit.Running()
+}
+
+// close drains the node and closes it, the callers' listener first.
+func (n *Node) close(ctx context.Context, s *super.Supervisor) error {
 	began := time.Now()
-	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Drain)
-	defer cancel()
-	n.log.Emit(event.NodeDraining, event.NewField(event.Reason, "signal"), event.NewField(event.Count, n.exit.Running()))
-	n.leaving.Store(true)
-	n.roster.leave()
-	mono.Sleep(drainCtx, drainNotice)
-	aborted := n.exit.Drain(drainCtx)
-	n.workReporter.writeFinal(drainCtx)
+	aborted := n.drain(ctx, "signal")
 	err := s.Close()
 	n.entry.Close()
 	n.exit.Close()
--- a/internal/super/super.go
+++ b/internal/super/super.go
@@ -2,8 +2,8 @@
 //
 // Invariants: a child starts only after all children before it are ready, and is
 // stopped only after all children after it have returned. A child that fails is
-// restarted, unless it has failed too often; then all children are stopped. Close
-// returns only after every child has returned.
+// restarted, unless it has failed too often; then BeforeStop is called and all
+// children are stopped. Close returns only after every child has returned.
 package super
 
 import (
@@ -49,6 +49,9 @@
 	MaxRestarts   int
 	RestartWindow time.Duration
 	RestartDelay  time.Duration
+	// BeforeStop is called after a child has failed too often and before the
+	// others are stopped, so that they can finish their work; may be nil.
+	BeforeStop func()
 	// Now is the clock of the restart limit; nil means time.Now.
 	Now func() time.Time
 	// Emit records events. It must be safe for concurrent use; if it is nil,
@@ -61,6 +64,7 @@
 	options  Options
 	children []*childState
 	stop     chan struct{} // closed by Close and when a child has failed too often
+	failed   chan struct{} // closed before stop if a child has failed too often
 	ready    chan struct{} // closed when all children are ready
 	done     chan struct{} // closed when all children have returned
 
@@ -86,6 +90,7 @@
 	s := &Supervisor{
 		options: o,
 		stop:    make(chan struct{}),
+		failed:  make(chan struct{}),
 		ready:   make(chan struct{}),
 		done:    make(chan struct{}),
 	}
@@ -93,6 +98,11 @@
 		defer close(s.done)
 		s.start()
 		<-s.stop
+		select {
+		case <-s.failed:
+			s.options.BeforeStop()
+		default:
+		}
 		s.stopChildren()
 	}()
 	return s
@@ -108,6 +118,9 @@
 	if o.RestartDelay <= 0 {
 		o.RestartDelay = defaultRestartDelay
 	}
+	if o.BeforeStop == nil {
+		o.BeforeStop = func() {}
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -127,17 +140,13 @@
 // error of a child that failed too often, joined with the errors of children that
 // did not stop cleanly. It may be called more than once.
 func (s *Supervisor) Close() error {
-	s.requestStop()
+	s.once.Do(func() { close(s.stop) })
 	<-s.done
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return errors.Join(s.errs...)
 }
 
-func (s *Supervisor) requestStop() {
-	s.once.Do(func() { close(s.stop) })
-}
-
 // start starts the children one after the other until a stop is requested.
 func (s *Supervisor) start() {
 	for _, c := range s.options.Children {
@@ -185,7 +194,10 @@
 		if !restart {
 			s.options.Emit(event.ChildGaveUp, fields...)
 			s.recordError(t, err)
-			s.requestStop()
+			s.once.Do(func() {
+				close(s.failed)
+				close(s.stop)
+			})
 			return
 		}
 		s.options.Emit(event.ChildRestarted, fields...)
--- a/internal/super/super_test.go
+++ b/internal/super/super_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -160,6 +161,41 @@
 	}
 }
 
+// Guards against children that are stopped with their work in progress because
+// another one has failed too often.
+func TestBeforeStopPrecedesStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := &journal{t: t}
+		s := super.New(super.Options{
+			MaxRestarts: 1, RestartWindow: time.Minute, Emit: j.emit,
+			Children: []super.Child{j.steady("a", 0), failing("b", time.Second, func() error { return errBroken })},
+			BeforeStop: func() {
+				time.Sleep(time.Second)
+				j.add("drained")
+			},
+		})
+		<-s.Done()
+		assert.ErrorIs(t, s.Close(), errBroken)
+		assert.Assert(t, slices.Index(j.lines, "drained") >= 0)
+		assert.Assert(t, slices.Index(j.lines, "drained") < slices.Index(j.lines, "a closed"), "%q", j.lines)
+	})
+}
+
+// Guards against a drain that Close starts a second time, although its caller has
+// drained.
+func TestCloseSkipsBeforeStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := &journal{t: t}
+		s := super.New(super.Options{
+			Children:   []super.Child{j.steady("a", 0)},
+			BeforeStop: func() { j.add("drained") },
+		})
+		<-s.Ready()
+		assert.NilError(t, s.Close())
+		assert.Equal(t, slices.Index(j.lines, "drained"), -1)
+	})
+}
+
 // Guards against a Close that blocks while a child never becomes ready, and
 // against children after it that start nevertheless.
 func TestCloseWhileStarting(t *testing.T) {
