fleet: keep a rollout's duties while all members are leaving

Cause: the duties are spread over the members that aren't leaving. Once all are, the list is empty and exchangeCounters divides by zero; the task panics at each restart until the supervisor gives up. Evidence: "child moves: panic in exchangeCounters (share.go:44): runtime error: integer divide by zero".

Change: while all members are leaving, they still respond and keep the duties; a node that knows no member lists itself. The peers that decide whether a node is alone are counted separately, since the list less one was wrong for a node that is leaving itself.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -452,6 +452,39 @@
 	n.ended <- nil
 }
 
+// Guards against a rollout whose duties fail once all members are leaving, which
+// ends the nodes and aborts the requests in progress.
+func TestStopOfAllNodesDuringRollout(t *testing.T) {
+	c := newCluster(t, 2, serveFor(2300*time.Millisecond))
+	for _, n := range c.nodes {
+		n.stop()
+		assert.NilError(t, <-n.ended)
+		settings := *n.settings
+		settings.Grace = 6 * time.Second
+		n.settings = &settings
+		c.start(n)
+		c.announce(n)
+	}
+	c.add(2, "v2", serveSlowly)
+	c.store.Put("op", "rollout/counter", `{"service":"counter","target":"v2","duration_s":60}`)
+	c.await("the rollout to run", func() bool { return strings.Contains(c.store.Value("status", "rollout/counter"), "running") })
+	statuses := make(chan int)
+	for _, n := range c.nodes[:2] {
+		go func() { statuses <- c.send(n, http.MethodPost, "/book/slow").status }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	assert.Check(t, <-statuses == http.StatusOK)
+	assert.Check(t, <-statuses == http.StatusOK)
+	for _, n := range c.nodes {
+		err := <-n.ended
+		n.ended <- nil
+		assert.Check(t, err)
+	}
+}
+
 // Guards against a node that aborts the requests in progress when one of its
 // tasks fails for good.
 func TestFailureAbortsNoRequest(t *testing.T) {
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -317,15 +317,37 @@
 	return out
 }
 
-// expectedNodes lists the members that should respond, including this node.
+// expectedNodes lists the members that should respond, including this node. It is
+// never empty: while all members are leaving, they still respond, so it lists
+// those, and this node if it knows no member.
 func (ms *membership) expectedNodes() []ident.Node {
-	var out []ident.Node
+	var staying, leaving []ident.Node
 	for _, c := range ms.records.Reachable() {
-		if c.State != member.Leaving {
-			out = append(out, c.Node)
+		if c.State == member.Leaving {
+			leaving = append(leaving, c.Node)
+		} else {
+			staying = append(staying, c.Node)
 		}
 	}
-	return out
+	switch {
+	case len(staying) > 0:
+		return staying
+	case len(leaving) > 0:
+		return leaving
+	default:
+		return []ident.Node{ms.node.settings.Node}
+	}
+}
+
+// countPeers returns the number of other members that respond.
+func (ms *membership) countPeers() int {
+	n := 0
+	for _, c := range ms.records.Reachable() {
+		if c.Node != ms.node.settings.Node {
+			n++
+		}
+	}
+	return n
 }
 
 // randomAddress returns the RPC address of a random other member.
@@ -356,7 +378,7 @@
 func (ms *membership) join(ctx context.Context) {
 	state := seeds.New(rand.Float64, joinJitter, time.Now())
 	for ctx.Err() == nil {
-		view := seeds.View{Members: len(ms.expectedNodes()) - 1, Watcher: ms.node.watcher.watches()}
+		view := seeds.View{Members: ms.countPeers(), Watcher: ms.node.watcher.watches()}
 		succeeded := true
 		switch state.Next(view, time.Now()) {
 		case seeds.Read:
