fleet: answer the requests that come or end late in a planned stop

Cause, by tests on: half way through the grace period the callers' port was shut down by net/http, which reads a request that arrives on an open connection and closes it without a response; its caller can't know that it has not run. A request that outlasted the grace period was cut as well: the entry waited for a copy at another node, and the process ended before it answered.

Change: the port closes its listener only; requests on open connections are refused with 503 and not passed on. At the end of the grace period the requests in progress are aborted, and the node waits up to 0.1 s, within the time that is reserved before SIGKILL, for the answers (502). Responses to requests from before SIGTERM say Connection: close, too.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,7 +86,13 @@
 	ports      []*port
 	draining   atomic.Bool
 	drainOnce  sync.Once
-	rejected   rejectedRows
+	// stopping is set once callers' requests are refused.
+	stopping atomic.Bool
+	// aborted ends the requests of callers that outlast the grace period; abort
+	// cancels it.
+	aborted  context.Context
+	abort    context.CancelFunc
+	rejected rejectedRows
 }
 
 // New builds a node and opens its listeners, so that a port in use is reported
@@ -100,6 +106,7 @@
 		metrics:   metrics.NewRegistry(),
 		pool:      peer.NewPool(peer.Options{MaxBodyBytes: maxBodyBytes}),
 	}
+	n.aborted, n.abort = context.WithCancel(context.Background())
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -281,12 +288,16 @@
 	// drainPollInterval is the time between two checks for requests in progress
 	// while the node drains.
 	drainPollInterval = 20 * time.Millisecond
+	// abortTimeout is the time for the responses to aborted requests. It is a
+	// part of killMargin.
+	abortTimeout = 100 * time.Millisecond
 )
 
 // drain lets the node finish its work; only the first call has an effect. During
 // drainDelay the node serves all requests and answers with "Connection: close";
-// then it accepts no new ones, until no request is in progress or the grace
-// period ends.
+// then it refuses new ones, also on open connections, until no request is in
+// progress or the grace period ends. Requests that outlast it are aborted and
+// answered.
 func (n *Node) drain(reason string) {
 	n.drainOnce.Do(func() {
 		startedAt := time.Now()
@@ -295,17 +306,28 @@
 		n.membership.announceLeave()
 		timeout := n.settings.Grace - killMargin
 		time.Sleep(min(drainDelay, timeout/2))
+		n.stopping.Store(true)
 		ctx, cancel := context.WithTimeout(context.Background(), timeout-time.Since(startedAt))
 		defer cancel()
 		n.stopAccepting(ctx)
-		for ctx.Err() == nil && (n.frontend.inProgress() > 0 || n.exit.Running() > 0) {
-			mono.Sleep(ctx, drainPollInterval)
+		n.awaitRequests(ctx)
+		if n.frontend.inProgress() > 0 {
+			n.abort()
+			ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+			defer cancel()
+			n.awaitRequests(ctx)
 		}
 	})
 }
 
-// close drains and stops the node. Requests still in progress when the grace
-// period ends are aborted.
+// awaitRequests waits until no request is in progress or ctx ends.
+func (n *Node) awaitRequests(ctx context.Context) {
+	for ctx.Err() == nil && (n.frontend.inProgress() > 0 || n.exit.Running() > 0) {
+		mono.Sleep(ctx, drainPollInterval)
+	}
+}
+
+// close drains and stops the node.
 func (n *Node) close(s *super.Supervisor) error {
 	startedAt := time.Now()
 	n.drain("signal")
@@ -314,6 +336,7 @@
 	n.exit.Close()
 	n.pool.Close()
 	n.quota.Close()
+	n.abort()
 	n.store.Close()
 	n.log.Emit(event.NodeStopped, event.NewField(event.Elapsed, time.Since(startedAt)), event.NewField(event.Count, aborted))
 	_ = n.logQueue.Close() // Close never fails
@@ -327,7 +350,7 @@
 func (n *Node) stopAccepting(ctx context.Context) {
 	for _, p := range n.ports {
 		if p.name == callersPort {
-			go p.drain(ctx)
+			p.stopListening()
 		}
 	}
 	n.exit.Drain(ctx)
--- a/internal/fleet/frontend.go
+++ b/internal/fleet/frontend.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -57,15 +58,19 @@
 		w.Header().Set("Connection", "close")
 	}
 	in := platform.ParseCallerHeaders(r.Header)
+	if f.node.stopping.Load() {
+		f.refuse(w, in, "stopping")
+		return
+	}
 	lease, err := f.node.quota.NewLease()
 	if err != nil {
-		f.refuse(w, in, "memory", minRetryAfter)
+		f.refuse(w, in, "memory")
 		return
 	}
 	defer lease.Release()
 	t := f.node.operator.table()
 	if t == nil {
-		f.refuse(w, in, "no configuration", minRetryAfter)
+		f.refuse(w, in, "no configuration")
 		return
 	}
 	rule, ok := t.Find(r.Host, r.URL.EscapedPath())
@@ -130,7 +135,7 @@
 func (f *frontend) rejectBody(q *inbound, err error) {
 	switch {
 	case errors.Is(err, quota.ErrFull):
-		f.refuse(q.writer, q.headers, "memory", minRetryAfter)
+		f.refuse(q.writer, q.headers, "memory")
 	case errors.Is(err, quota.ErrTooLarge):
 		f.fail(q.writer, q.headers, http.StatusRequestEntityTooLarge, "body size", q.startedAt, q.rule.Name)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -160,7 +165,10 @@
 		Header:      r.Header,
 		Body:        body,
 	}
-	resp := f.node.entry.Place(quota.NewContext(r.Context(), q.lease), id, req)
+	ctx, cancel := context.WithCancel(quota.NewContext(r.Context(), q.lease))
+	defer cancel()
+	defer context.AfterFunc(f.node.aborted, cancel)()
+	resp := f.node.entry.Place(ctx, id, req)
 	f.writeResponse(q, resp, timeout-time.Since(q.startedAt))
 	f.recordOutcome(q.headers, id, req, resp, q.startedAt)
 }
@@ -180,6 +188,9 @@
 }
 
 func (f *frontend) writeResponse(q *inbound, resp *wirepb.CallResponse, remaining time.Duration) {
+	if f.node.draining.Load() {
+		q.writer.Header().Set("Connection", "close")
+	}
 	switch resp.GetOutcome() {
 	case wirepb.Outcome_OUTCOME_RAN:
 		if len(resp.GetBody()) > quota.ReceiveBuffer {
@@ -229,8 +240,8 @@
 	}
 }
 
-func (f *frontend) refuse(w http.ResponseWriter, in platform.CallerHeaders, reason string, retryAfter time.Duration) {
-	platform.WriteRefusal(w, in.RequestID, retryAfter)
+func (f *frontend) refuse(w http.ResponseWriter, in platform.CallerHeaders, reason string) {
+	platform.WriteRefusal(w, in.RequestID, minRetryAfter)
 	f.node.counter("front.refused").Inc(1)
 	f.node.log.Emit(event.RequestRefused, event.NewField(event.Request, in.RequestID), event.NewField(event.Reason, reason))
 }
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -34,18 +34,21 @@
 	newServer func() *http.Server
 	// initial is the listener opened by New; it is nil after the first Run.
 	initial net.Listener
-	// current is the server of the latest Run.
-	current atomic.Pointer[http.Server]
+	// listener is that of the latest Run, and stopped is set once it is closed on
+	// purpose.
+	listener atomic.Pointer[net.Listener]
+	stopped  atomic.Bool
 }
 
 // callersPort is the name of the callers' port.
 const callersPort = "callers"
 
-// drain closes the listener and idle connections and waits for requests in
-// progress.
-func (p *port) drain(ctx context.Context) {
-	if s := p.current.Load(); s != nil {
-		_ = s.Shutdown(ctx) // requests that outlast ctx are counted by Node.close
+// stopListening closes the listener. Requests on open connections are served
+// until the end of Run.
+func (p *port) stopListening() {
+	p.stopped.Store(true)
+	if l := p.listener.Load(); l != nil {
+		_ = (*l).Close()
 	}
 }
 
@@ -112,17 +115,16 @@
 		}
 	}
 	s := p.newServer()
-	p.current.Store(s)
+	p.listener.Store(&listener)
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(listener) }()
 	ready()
 	select {
 	case err := <-failed:
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done()
-			return ctx.Err()
+		if !p.stopped.Load() {
+			return oops.With("step", "serve", "peer", p.address).Wrap(err)
 		}
-		return oops.With("step", "serve", "peer", p.address).Wrap(err)
+		<-ctx.Done()
 	case <-ctx.Done():
 	}
 	return errors.Join(ctx.Err(), s.Close())
