fleet: wait for responses that are still being written at a stop

Cause: the node ended once no handler was running. net/http writes a buffered response, and reads the next request that was sent without waiting, outside of the handler. Evidence: with a full connection the node ends although a response waits in its buffer.

Change: active connections are counted by http.Server.ConnState, and there must have been none for 0.1 s.

Open: a connection that is closed with unread input resets what is on its way.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,6 +84,7 @@
 	upstream   *upstream
 	frontend   *frontend
 	ports      []*port
+	callers    activeConns
 	draining   atomic.Bool
 	drainOnce  sync.Once
 	// stopping is set once callers' requests are refused.
@@ -288,6 +289,8 @@
 	// drainPollInterval is the time between two checks for requests in progress
 	// while the node drains.
 	drainPollInterval = 20 * time.Millisecond
+	// quietPolls is the number of consecutive checks that must find no request.
+	quietPolls = 5
 	// abortTimeout is the time for the responses to aborted requests. It is a
 	// part of killMargin.
 	abortTimeout = 100 * time.Millisecond
@@ -311,7 +314,7 @@
 		defer cancel()
 		n.stopAccepting(ctx)
 		n.awaitRequests(ctx)
-		if n.frontend.inProgress() > 0 {
+		if n.callers.count() > 0 {
 			n.abort()
 			ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 			defer cancel()
@@ -320,9 +323,14 @@
 	})
 }
 
-// awaitRequests waits until no request is in progress or ctx ends.
+// awaitRequests waits until no request is in progress or ctx ends. Between two
+// requests that a caller has sent without waiting for the responses, a connection
+// is idle for a moment.
 func (n *Node) awaitRequests(ctx context.Context) {
-	for ctx.Err() == nil && (n.frontend.inProgress() > 0 || n.exit.Running() > 0) {
+	for quiet := 0; quiet < quietPolls && ctx.Err() == nil; quiet++ {
+		if n.callers.count() > 0 || n.exit.Running() > 0 {
+			quiet = -1
+		}
 		mono.Sleep(ctx, drainPollInterval)
 	}
 }
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -71,7 +71,11 @@
 			}))
 		}},
 		{"ready", l.Ready, false, func() *http.Server { return newHTTPServer(platform.ReadyHandler(n.ready)) }},
-		{callersPort, l.Callers, false, func() *http.Server { return newHTTPServer(n.frontend) }},
+		{callersPort, l.Callers, false, func() *http.Server {
+			s := newHTTPServer(n.frontend)
+			s.ConnState = n.callers.recordState
+			return s
+		}},
 	}
 	for _, p := range configs {
 		if p.address == "" && p.optional {
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -114,6 +115,39 @@
 	assert.Equal(t, <-earlier, http.StatusOK)
 }
 
+// Guards against a node that ends while a response waits in the buffer of its
+// connection, because no handler runs any more.
+func TestStopWaitsForResponseBeingWritten(t *testing.T) {
+	body := strings.Repeat("x", 3000)
+	c := newCluster(t, 1, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	n := c.nodes[0]
+	conn, err := net.Dial("tcp", n.settings.Listen.Callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(256<<10))
+	go func() {
+		var err error
+		for i := 0; err == nil; i++ {
+			_, err = fmt.Fprintf(conn, "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: p%d\r\n\r\n", i)
+		}
+	}()
+	latest := -1
+	c.await("the responses to fill the connection", func() bool {
+		before := latest
+		latest = n.upstream.Total()
+		time.Sleep(100 * time.Millisecond)
+		return latest == before
+	})
+	n.stop()
+	time.Sleep(n.settings.Grace * 2 / 3)
+	select {
+	case err := <-n.ended:
+		n.ended <- err
+		t.Fatal("the node ended before its response was written")
+	default:
+	}
+}
+
 // Guards against a node that ends before it has answered a request that outlasts
 // the grace period.
 func TestRequestThatOutlastsGraceIsAnswered(t *testing.T) {
