fleet: let a response arrive whole before its connection is closed

Cause: net/http closes the connection directly after a response with Connection: close. The next request is unread input then; the system resets such a connection and discards what is still on its way to the caller. Evidence: of a response of 1 MiB the caller gets a part and 'connection reset by peer'.

Change: callers' connections linger.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,7 +84,7 @@
 	upstream   *upstream
 	frontend   *frontend
 	ports      []*port
-	callers    activeConns
+	callers    callerConns
 	draining   atomic.Bool
 	drainOnce  sync.Once
 	// stopping is set once callers' requests are refused.
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -32,6 +32,8 @@
 	name      string
 	address   string
 	newServer func() *http.Server
+	// wrap returns the listener to serve; nil means the listener itself.
+	wrap func(net.Listener) net.Listener
 	// initial is the listener opened by New; it is nil after the first Run.
 	initial net.Listener
 	// listener is that of the latest Run, and stopped is set once it is closed on
@@ -94,7 +96,11 @@
 			}
 			return oops.With("step", "listen", "peer", p.address).Wrap(err)
 		}
-		n.ports = append(n.ports, &port{name: p.name, address: p.address, newServer: p.newServer, initial: listener})
+		opened := &port{name: p.name, address: p.address, newServer: p.newServer, initial: listener}
+		if p.name == callersPort {
+			opened.wrap = n.callers.listen
+		}
+		n.ports = append(n.ports, opened)
 	}
 	return nil
 }
@@ -120,6 +126,9 @@
 	}
 	s := p.newServer()
 	p.listener.Store(&listener)
+	if p.wrap != nil {
+		listener = p.wrap(listener)
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(listener) }()
 	ready()
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -148,6 +148,41 @@
 	}
 }
 
+// Guards against a connection that is closed with unread input, which resets it
+// and discards the part of the response that is still on its way. The caller has
+// sent the next request without waiting.
+func TestClosingResponseArrivesWhole(t *testing.T) {
+	body := strings.Repeat("x", 1<<20)
+	c := newCluster(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, body)
+	})
+	n := c.nodes[0]
+	conn, err := net.Dial("tcp", n.settings.Listen.Callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(16<<10))
+	n.stop()
+	time.Sleep(50 * time.Millisecond)
+	for i := range 2 {
+		_, err = fmt.Fprintf(conn, "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: p%d\r\n\r\n", i)
+		assert.NilError(t, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close)
+	// The node writes the end of the response and closes the connection.
+	first := make([]byte, len(body)/2)
+	_, err = io.ReadFull(resp.Body, first)
+	assert.NilError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	rest, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(first)+len(rest), len(body))
+}
+
 // Guards against a node that ends before it has answered a request that outlasts
 // the grace period.
 func TestRequestThatOutlastsGraceIsAnswered(t *testing.T) {
