--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -136,6 +136,9 @@
 	_ = p.Signal(syscall.SIGCONT)
 }
 
+// stackTimeout bounds the time in which a process that hangs writes its stacks.
+const stackTimeout = 2 * time.Second
+
 // stopNode stops a node as planned and restarts it. If interrupt is set, the node
 // is killed after a quarter of duration, possibly before it has exited.
 func (s *system) stopNode(n *node, interrupt bool, duration time.Duration) {
@@ -151,6 +154,9 @@
 		p.Kill()
 	} else if !p.WaitExit(stopGrace) {
 		s.record.addViolation(fmt.Sprintf("GRACE: node %s has not exited within %v after SIGTERM", n.name, stopGrace))
+		// The log gets the stacks of all goroutines.
+		_ = p.Signal(syscall.SIGQUIT)
+		p.WaitExit(stackTimeout)
 		p.Kill()
 	}
 	s.restartNode(n)
