--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -164,11 +164,6 @@
 	return q.uncollected
 }
 
-// Largest returns the size of the largest body that can be stored.
-func (q *Quota) Largest() Bytes {
-	return q.options.Limit - q.options.Limit/bodyDivisor - RequestShare
-}
-
 // charge takes n bytes for a request that holds held bytes already.
 func (q *Quota) charge(k Kind, n, held Bytes) error {
 	err := q.tryCharge(k, n, held)
--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -17,6 +17,10 @@
 
 const limit = 64 << 20
 
+// largest is the size of the largest body that a request can store: bodies leave a
+// quarter of the limit to small requests.
+const largest = limit - limit/4 - quota.RequestShare
+
 func newQuota(t interface{ Cleanup(func()) }, collect func()) *quota.Quota {
 	q := quota.New(quota.Options{Limit: limit, Collect: collect, OnRefusal: func(quota.Kind, error) {}})
 	t.Cleanup(q.Close)
@@ -64,7 +68,7 @@
 		l, err := q.NewLease()
 		assert.NilError(t, err)
 		defer l.Release()
-		assert.NilError(t, l.Grow(quota.Body, q.Largest()), "released memory can't be used again")
+		assert.NilError(t, l.Grow(quota.Body, largest), "released memory can't be used again")
 	})
 }
 
@@ -75,14 +79,14 @@
 	q := newQuota(t, func() { collections.Add(1) })
 	first, err := q.NewLease()
 	assert.NilError(t, err)
-	assert.NilError(t, first.Grow(quota.Body, q.Largest()))
+	assert.NilError(t, first.Grow(quota.Body, largest))
 	second, err := q.NewLease()
 	assert.NilError(t, err)
 	defer second.Release()
-	assert.Assert(t, errors.Is(second.Grow(quota.Body, q.Largest()), quota.ErrFull))
+	assert.Assert(t, errors.Is(second.Grow(quota.Body, largest), quota.ErrFull))
 	assert.Equal(t, collections.Load(), int64(0))
 	first.Release()
-	assert.NilError(t, second.Grow(quota.Body, q.Largest()))
+	assert.NilError(t, second.Grow(quota.Body, largest))
 	assert.Assert(t, collections.Load() > 0)
 }
 
@@ -183,10 +187,10 @@
 	q := quota.New(quota.Options{Limit: limit, Collect: func() {}, OnRefusal: func(quota.Kind, error) {}})
 	first, err := q.NewLease()
 	assert.NilError(t, err)
-	assert.NilError(t, first.Grow(quota.Body, q.Largest()))
+	assert.NilError(t, first.Grow(quota.Body, largest))
 	second, err := q.NewLease()
 	assert.NilError(t, err)
 	q.Close()
 	first.Release()
-	assert.Assert(t, errors.Is(second.Grow(quota.Body, q.Largest()), quota.ErrFull))
+	assert.Assert(t, errors.Is(second.Grow(quota.Body, largest), quota.ErrFull))
 }
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -133,3 +134,22 @@
 	assert.ErrorIs(t, err, quota.ErrTooLarge)
 	assert.Equal(t, q.Used(quota.Response) < 1<<20, true)
 }
+
+// Guards against a malformed frame that ends the process, is taken for a request
+// that it doesn't hold, or makes the node allocate what the frame announces.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0, 0, 0, 4, 10, 2, 'i', 'd', 'b', 'o', 'd', 'y'})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		e := &echoExit{}
+		server := peer.NewServer(e, peer.Options{MaxBodyBytes: 1 << 10})
+		for _, path := range []string{"/frame/call", "/frame/resolve"} {
+			w := httptest.NewRecorder()
+			server.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(frame)))
+			assert.Assert(t, w.Code != http.StatusInternalServerError, w.Body.String())
+		}
+		assert.Assert(t, e.calls.Load() == 0 || len(frame) >= 4)
+	})
+}
