--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -108,6 +108,22 @@
 	}
 }
 
+// State returns the state of the process as the system reports it, for example
+// "S (sleeping)". A process that has exited and whose output is still being copied
+// is a zombie.
+func (p *Process) State() string {
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if state, ok := strings.CutPrefix(line, "State:"); ok {
+			return strings.TrimSpace(state)
+		}
+	}
+	return "unknown"
+}
+
 // WaitExit waits up to timeout for the process to exit and reports whether it
 // has.
 func (p *Process) WaitExit(timeout time.Duration) bool {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -153,7 +153,7 @@
 		time.Sleep(duration / 4)
 		p.Kill()
 	} else if !p.WaitExit(stopGrace) {
-		s.record.addViolation(fmt.Sprintf("GRACE: node %s has not exited within %v after SIGTERM", n.name, stopGrace))
+		s.record.addViolation(fmt.Sprintf("GRACE: node %s has not exited within %v after SIGTERM, state %s", n.name, stopGrace, p.State()))
 		// The log gets the stacks of all goroutines.
 		_ = p.Signal(syscall.SIGQUIT)
 		p.WaitExit(stackTimeout)
