fleet: mend a test that failed on a kept connection of an earlier process

Trace: the test sends a heartbeat directly after a restart; net/http reuses the connection to the process before, whose reset has not arrived yet, and doesn't repeat a PUT. Heartbeats of the tests use a new connection now, as those of a restarted node's worker do. When the test failed, its clean-up waited for a node that nobody stopped; its context ends with the test. The checks are unchanged.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -135,6 +135,8 @@
 func (c *cluster) putHeartbeat(n *testNode, instance, body string) int {
 	r, err := http.NewRequest(http.MethodPut, "http://"+n.settings.Listen.Beats+"/api/instances/"+instance, strings.NewReader(body))
 	assert.NilError(c.t, err)
+	// A kept connection may be one to an earlier process.
+	r.Close = true
 	a, err := http.DefaultClient.Do(r)
 	assert.NilError(c.t, err)
 	defer func() { _ = a.Body.Close() }()
@@ -146,6 +148,7 @@
 func (c *cluster) depart(n *testNode) int {
 	r, err := http.NewRequest(http.MethodDelete, "http://"+n.settings.Listen.Beats+"/api/instances/"+n.upstream.Instance, nil)
 	assert.NilError(c.t, err)
+	r.Close = true
 	a, err := http.DefaultClient.Do(r)
 	assert.NilError(c.t, err)
 	defer func() { _ = a.Body.Close() }()
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -215,7 +215,9 @@
 	f, err := fleet.New(fleet.Options{Settings: n.settings, Reload: func() (*spec.Sidecar, error) { panic("broken") }})
 	assert.NilError(t, err)
 	reload := make(chan struct{})
-	go func() { n.ended <- f.Run(context.Background(), reload) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	n.stop = cancel
+	go func() { n.ended <- f.Run(ctx, reload) }()
 	c.announce(n)
 	c.await("the node to serve callers", func() bool { return c.send(n, http.MethodGet, "/read/x").status == http.StatusOK })
 	status := make(chan int)
