spec, fleet: start on deployments that lack a contract

Cause: deploy/settings.json filled in every bound, so a deployment without version moves had an empty value there and no process started.

Each block that belongs to one contract is now optional. The part that it feeds stays off without it: retry budget, rollouts, cold limit, evacuation and health checks. The node logs one line that lists them; an operator's order for a part that is off is rejected with a log line.

TestOrdersForPartsThatAreOff sends orders to such a node.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -23,8 +23,10 @@
 	Count    Name = "count"
 	Deadline Name = "deadline"
 	Digest   Name = "digest"
+	Disabled Name = "disabled"
 	Domain   Name = "domain"
 	Elapsed  Name = "elapsed"
+	Enabled  Name = "enabled"
 	Error    Name = "error"
 	Fence    Name = "fence"
 	Instance Name = "instance"
@@ -73,6 +75,7 @@
 	{SettingsChanged, "settings-changed", LevelInfo, []Name{Count}, "The settings were reloaded after a signal. Count is the number of seeds."},
 	{SettingsRejected, "settings-rejected", LevelWarn, []Name{Error}, "The settings file is invalid; the previous settings stay in effect."},
 	{LinesDropped, "lines-dropped", LevelWarn, []Name{Count}, "Log lines were dropped because the output was too slow or the rate limit was exceeded. Count is the number of dropped lines."},
+	{PartsOff, "parts-off", LevelInfo, []Name{Enabled, Disabled}, "The settings leave parts of the node off. The fields list the parts that are on and off."},
 	{ChildStarted, "child-started", LevelDebug, []Name{Child}, "The supervisor has started a child task."},
 	{ChildRestarted, "child-restarted", LevelWarn, []Name{Child, Error, Count}, "A child task has failed and is restarted. Count is the number of restarts in the window."},
 	{ChildGaveUp, "child-gave-up", LevelError, []Name{Child, Error, Count}, "A child task has exceeded the restart limit; the node stops."},
--- a/event/code.go
+++ b/event/code.go
@@ -16,6 +16,7 @@
 	SettingsChanged
 	SettingsRejected
 	LinesDropped
+	PartsOff
 )
 
 // Supervisor: 200 to 299.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -198,6 +198,7 @@
 		Budget: retry.BudgetOptions{
 			ChargeSheds: true,
 			MaxTries:    maxRefusedAttempts,
+			Unlimited:   n.settings.Budget == nil,
 			Ratio:       n.retryBound().NodeRatio(),
 			// The other members aren't known yet.
 			Burst: 1,
@@ -216,12 +217,18 @@
 // retryBound returns the bound on the extra runs at one service over all nodes.
 func (n *Node) retryBound() retry.FleetBound {
 	b := n.settings.Budget
+	if b == nil {
+		return retry.FleetBound{}
+	}
 	return retry.FleetBound{Ratio: b.Ratio, Slack: b.Slack, Window: b.Window}
 }
 
 // setRetryRate sets this node's share of the retry slack that all nodes have
 // together.
 func (n *Node) setRetryRate(nodes int) {
+	if n.settings.Budget == nil {
+		return
+	}
 	n.entry.SetRetryRate(n.retryBound().NodeRate(nodes))
 }
 
@@ -259,6 +266,9 @@
 		event.NewField(event.Version, n.options.Version),
 		event.NewField(event.Domain, n.settings.Domain),
 		event.NewField(event.Address, n.settings.Listen.Peers))
+	if on, off := n.settings.Parts(); len(off) > 0 {
+		n.log.Emit(event.PartsOff, event.NewField(event.Enabled, on), event.NewField(event.Disabled, off))
+	}
 	children := []super.Child{
 		{Name: "members", Run: n.membership.Run},
 		{Name: "watch", Run: n.watcher.Run},
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -97,9 +97,9 @@
 		Listen:    spec.SidecarListen{Callers: freeAddress(c.t), Beats: freeAddress(c.t), Ready: freeAddress(c.t), Peers: freeAddress(c.t)},
 		Store:     spec.SidecarStore{Address: c.store.Address()},
 		Heartbeat: time.Second, Grace: 3 * time.Second,
-		Budget:   spec.SidecarBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Exposure: spec.SidecarExposure{Share: 0.1, Slack: 50}, Cold: spec.SidecarCold{Overage: 1.5, Slack: 5},
-		Probes: 60, Memory: 128, Log: spec.Info,
+		Budget:   &spec.SidecarBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Exposure: &spec.SidecarExposure{Share: 0.1, Slack: 50}, Cold: &spec.SidecarCold{Overage: 1.5, Slack: 5},
+		Evacuation: new(5 * time.Second), Probes: new(60.0), Memory: 128, Log: spec.Info,
 	}}
 	c.start(n)
 	c.announce(n)
@@ -367,3 +367,29 @@
 	assert.Equal(t, newNode.upstream.Total(), got+1)
 	assert.Equal(t, c.nodes[0].upstream.Total()+c.nodes[1].upstream.Total(), before)
 }
+
+// Guards against orders for a part that the settings leave off: one without a
+// limit would move a version or evacuate a domain on invented defaults, and a
+// missing limit must not stop the node.
+func TestOrdersForPartsThatAreOff(t *testing.T) {
+	c := &cluster{t: t, store: fake.NewStore(), domains: 1}
+	c.store.Put("op", "config", configJSON(1, ""))
+	t.Cleanup(c.store.Close)
+	n := c.add(0, "v1", serveSlowly)
+	t.Cleanup(func() {
+		n.stop()
+		<-n.ended
+		n.upstream.Close()
+	})
+	n.stop()
+	assert.NilError(t, <-n.ended)
+	n.settings.Budget, n.settings.Exposure, n.settings.Cold, n.settings.Evacuation, n.settings.Probes = nil, nil, nil, nil, nil
+	c.start(n)
+	c.announce(n)
+	c.store.Put("op", "evacuate/d0", "{}")
+	c.store.Put("op", "rollout/counter", `{"service":"counter","target":"v2","duration_s":1}`)
+	c.store.Put("op", "config", configJSON(2, `,{"name":"new","kind":"safe","match":{"prefix":"/new/"},"action":{"service":"counter","timeout_ms":3000,"max_attempts":1}}`))
+	c.await("the configuration after the orders to be in force", func() bool { return c.send(n, http.MethodGet, "/new/x").status == http.StatusOK })
+	assert.Equal(t, c.send(n, http.MethodGet, "/read/x").status, http.StatusOK)
+	assert.Equal(t, c.store.Value("status", "rollout/counter"), "")
+}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -12,6 +12,7 @@
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/exit"
 	"github.com/cicadahall/cicadahall/internal/mono"
+	"github.com/cicadahall/cicadahall/internal/spec"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/member"
 	"github.com/cicadahall/cicadahall/platform"
@@ -156,7 +157,7 @@
 	if len(updated) > 0 {
 		evacuatedDomains := map[ident.Domain]bool{}
 		for k, row := range st.replica.byKey {
-			if kind, name := platform.ParseKey(k); kind == platform.EvacuationRow && !row.Deleted {
+			if kind, name := platform.ParseKey(k); kind == platform.EvacuationRow && !row.Deleted && st.node.settings.Evacuation != nil {
 				evacuatedDomains[ident.Domain(name)] = true
 			}
 		}
@@ -180,6 +181,10 @@
 	case platform.RolloutRow:
 		st.node.rollouts.applyOrder(ident.Service(name), change)
 	case platform.EvacuationRow:
+		if st.node.settings.Evacuation == nil {
+			st.node.rejectOrder(change, spec.Evacuation)
+			return
+		}
 		code := event.DomainOut
 		if change.Deleted {
 			code = event.DomainIn
@@ -223,6 +228,9 @@
 		return
 	}
 	cold := st.node.settings.Cold
+	if cold == nil {
+		return
+	}
 	rate, burst := admit.ColdBound{Rate: service.ColdRequestsPerSecond, Overage: cold.Overage, Slack: cold.Slack}.Pace()
 	st.node.exit.SetColdRate(exit.ColdRate{Rate: rate, Burst: burst})
 }
--- a/internal/fleet/rejected.go
+++ b/internal/fleet/rejected.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"fmt"
 	"sync"
 
 	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/internal/spec"
+	"github.com/cicadahall/cicadahall/platform"
 	"github.com/cicadahall/cicadahall/store"
 )
 
@@ -50,3 +53,13 @@
 		event.NewField(event.Revision, row.Version),
 		event.NewField(event.Error, row.Err))
 }
+
+// rejectOrder logs an operator's order for a part that the settings leave off.
+func (n *Node) rejectOrder(change store.Change, part spec.Part) {
+	n.counter("orders.rejected").Inc(1)
+	n.log.Emit(event.RowRejected,
+		event.NewField(event.Store, platform.OperatorTable),
+		event.NewField(event.Key, change.Key),
+		event.NewField(event.Revision, change.Version),
+		event.NewField(event.Error, fmt.Errorf("%s is off in the settings of this node", part)))
+}
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/exit"
+	"github.com/cicadahall/cicadahall/internal/spec"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/move"
 	"github.com/cicadahall/cicadahall/platform"
@@ -78,6 +79,11 @@
 	if change.Deleted {
 		return
 	}
+	exposure := rs.node.settings.Exposure
+	if exposure == nil {
+		rs.node.rejectOrder(change, spec.Rollouts)
+		return
+	}
 	order, err := platform.DecodeRollout(change.Value)
 	if err != nil || order.Service != s {
 		rs.node.log.Emit(event.ManifestRejected, event.NewField(event.Service, s), event.NewField(event.Revision, change.Version), event.NewField(event.Error, err))
@@ -86,7 +92,6 @@
 	if previous := rs.byService[s]; previous != nil && previous.orderVersion >= change.Version {
 		return
 	}
-	exposure := rs.node.settings.Exposure
 	rs.byService[s] = &rollout{
 		order:        order,
 		orderVersion: change.Version,
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -147,7 +147,7 @@
 		return
 	}
 	u.node.operator.updateColdLimit()
-	if b.ColdRemaining > 0 {
+	if b.ColdRemaining > 0 && u.node.settings.Cold != nil {
 		u.node.exit.ReportLoad(b.Instance, admit.LoadReport{HasColdRemaining: true, ColdRemaining: b.ColdRemaining})
 	}
 }
@@ -346,7 +346,7 @@
 func (u *upstream) Run(ctx context.Context, ready func()) error {
 	ready()
 	interval := healthInterval
-	if p := u.node.settings.Probes; p > 0 {
+	if p := u.node.probeRate(); p > 0 {
 		interval = max(interval, time.Duration(probeRateMargin*float64(time.Second)/p))
 	}
 	t := time.NewTicker(interval)
@@ -364,13 +364,21 @@
 	}
 }
 
+// probeRate returns the maximum number of health checks per second.
+func (n *Node) probeRate() float64 {
+	if n.settings.Probes == nil {
+		return 0
+	}
+	return *n.settings.Probes
+}
+
 // probeRateMargin keeps the rate of health checks below the configured limit.
 const probeRateMargin = 1.5
 
 func (u *upstream) checkHealth(ctx context.Context) {
 	t := u.node.operator.table()
 	target := u.node.exit.Upstream()
-	if t == nil || target.Instance == "" || target.Draining || u.node.settings.Probes <= 0 {
+	if t == nil || target.Instance == "" || target.Draining || u.node.probeRate() <= 0 {
 		return
 	}
 	service, ok := t.Services[target.Service]
@@ -396,7 +404,7 @@
 		SlowdownPercent:  health.Load.SlowdownPercent,
 		HasBusy:          health.Load.Known,
 		Busy:             health.Load.Running + health.Load.Queued,
-		HasColdRemaining: true,
+		HasColdRemaining: u.node.settings.Cold != nil,
 		ColdRemaining:    health.Load.ColdRemaining,
 	})
 }
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -196,6 +196,12 @@
 		"seeds":     []string{},
 		"heartbeat": "300ms",
 		"grace":     stopGrace.String(),
+		// These switch on the parts of the node that the soak checks.
+		"budget":     map[string]any{},
+		"exposure":   map[string]any{},
+		"cold":       map[string]any{},
+		"evacuation": "5s",
+		"probes":     60,
 	})
 	if err != nil {
 		return err
--- a/internal/spec/decode.go
+++ b/internal/spec/decode.go
@@ -175,6 +175,9 @@
 
 // setDefault sets the default of a field that the file omits.
 func (s *shape) setDefault(into reflect.Value) {
+	if into.Kind() == reflect.Pointer {
+		return // nil means that the file omits the field
+	}
 	if s.kind == kindObject {
 		for _, f := range s.fields {
 			f.setDefault(into.Field(f.index))
--- a/internal/spec/sidecar.go
+++ b/internal/spec/sidecar.go
@@ -10,22 +10,24 @@
 // Sidecar holds the settings of a node that runs beside an upstream on the
 // hosting platform, where the operator's orders come from the platform's store.
 type Sidecar struct {
-	Node      ident.Node      `json:"node" doc:"Name of the node, unique in the system."`
-	Service   ident.Service   `json:"service" doc:"Service of the node's upstream."`
-	Domain    ident.Domain    `json:"domain" doc:"Failure domain of the node."`
-	Region    ident.Region    `json:"region" doc:"Region of the node."`
-	Upstream  string          `json:"upstream" spec:"form=address" doc:"Address of the node's upstream."`
-	Listen    SidecarListen   `json:"listen" doc:"Addresses that the node listens on."`
-	Store     SidecarStore    `json:"store" doc:"The platform's store."`
-	Seeds     []string        `json:"seeds" spec:"optional,max=64" doc:"Addresses of other nodes' heartbeat listeners. Nodes find each other through the store; the number of seeds is logged only."`
-	Heartbeat time.Duration   `json:"heartbeat" spec:"default=1500ms,min=10ms,max=1m" doc:"Time between two heartbeats of the upstream."`
-	Grace     time.Duration   `json:"grace" spec:"default=6s,min=1s,max=10m" doc:"Time from SIGTERM to SIGKILL."`
-	Budget    SidecarBudget   `json:"budget" spec:"optional" doc:"Limit of repeated requests over all nodes."`
-	Exposure  SidecarExposure `json:"exposure" spec:"optional" doc:"Limit of requests to a new version before it is known to work, over all nodes."`
-	Cold      SidecarCold     `json:"cold" spec:"optional" doc:"Limit of requests to a cold upstream."`
-	Probes    float64         `json:"probes" spec:"default=60,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second."`
-	Memory    Megabytes       `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
-	Log       Level           `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
+	Node      ident.Node    `json:"node" doc:"Name of the node, unique in the system."`
+	Service   ident.Service `json:"service" doc:"Service of the node's upstream."`
+	Domain    ident.Domain  `json:"domain" doc:"Failure domain of the node."`
+	Region    ident.Region  `json:"region" spec:"optional" doc:"Region of the node; empty if there is only one."`
+	Upstream  string        `json:"upstream" spec:"form=address" doc:"Address of the node's upstream."`
+	Listen    SidecarListen `json:"listen" doc:"Addresses that the node listens on."`
+	Store     SidecarStore  `json:"store" doc:"The platform's store."`
+	Seeds     []string      `json:"seeds" spec:"optional,max=64" doc:"Addresses of other nodes' heartbeat listeners. Nodes find each other through the store; the number of seeds is logged only."`
+	Heartbeat time.Duration `json:"heartbeat" spec:"default=1500ms,min=10ms,max=1m" doc:"Time between two heartbeats of the upstream."`
+	Grace     time.Duration `json:"grace" spec:"default=6s,min=1s,max=10m" doc:"Time from SIGTERM to SIGKILL."`
+	// The parts of the node that these settings switch on are off without them.
+	Budget     *SidecarBudget   `json:"budget" spec:"optional" doc:"Limit of repeated requests over all nodes; without it they are limited by the routes' attempts only."`
+	Exposure   *SidecarExposure `json:"exposure" spec:"optional" doc:"Limit of requests to a new version before it is known to work, over all nodes; without it orders to move a version are refused."`
+	Cold       *SidecarCold     `json:"cold" spec:"optional" doc:"Limit of requests to a cold upstream; without it a cold upstream is treated as a warm one."`
+	Evacuation *time.Duration   `json:"evacuation" spec:"optional,min=0s,max=10m" doc:"Time within which an evacuated failure domain gets no more requests; without it orders to evacuate are refused."`
+	Probes     *float64         `json:"probes" spec:"optional,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second; without it there are none."`
+	Memory     Megabytes        `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
+	Log        Level            `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
 }
 
 // Megabytes is an amount of memory in units of 1,000,000 bytes.
@@ -69,6 +71,39 @@
 // AdvertisedAddress returns the address at which other nodes reach this node.
 func (l SidecarListen) AdvertisedAddress() string { return cmp.Or(l.Public, l.Peers) }
 
+// Part is a part of a node that its settings switch on.
+type Part string
+
+// Parts of a node.
+const (
+	RetryBudget  Part = "retry-budget"
+	Rollouts     Part = "rollouts"
+	ColdLimit    Part = "cold-limit"
+	Evacuation   Part = "evacuation"
+	HealthChecks Part = "health-checks"
+)
+
+// Parts returns the parts that the settings switch on and those that stay off.
+func (s *Sidecar) Parts() (on, off []Part) {
+	for _, p := range []struct {
+		part Part
+		on   bool
+	}{
+		{RetryBudget, s.Budget != nil},
+		{Rollouts, s.Exposure != nil},
+		{ColdLimit, s.Cold != nil},
+		{Evacuation, s.Evacuation != nil},
+		{HealthChecks, s.Probes != nil && *s.Probes > 0},
+	} {
+		if p.on {
+			on = append(on, p.part)
+		} else {
+			off = append(off, p.part)
+		}
+	}
+	return on, off
+}
+
 var sidecarShape = newShape[Sidecar]("cicadahall side settings")
 
 // ParseSidecar parses the settings of a node on the hosting platform. The error
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -23,6 +23,8 @@
 	// extra run. Such a request has reached the upstream, and upstreams that
 	// shed many requests would otherwise be flooded with tries.
 	ChargeSheds bool
+	// Unlimited is set if extra runs have no limit beside those of each request.
+	Unlimited bool
 	// MaxTries bounds the refused tries of one request; 0 means
 	// DefaultMaxTries.
 	MaxTries int
@@ -69,6 +71,9 @@
 
 // Allow takes one extra run from the budget and reports whether one was left.
 func (b *Budget) Allow(now time.Time) bool {
+	if b.options.Unlimited {
+		return true
+	}
 	b.refill(now)
 	if b.tokens < 1 {
 		return false
