entry, exit: carry the workspace of a request; report when a request is sent

Interfaces for the parts of docs/demand.md: CallRequest gets the field workspace, which admit, entry and exit pass on, and the exit calls OnRequestStart for each request that it sends to its upstream. No behaviour changes: nothing sets the field yet.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -34,6 +34,8 @@
 	Route     ident.Route
 	Objective time.Time
 	Priority  int
+	// Workspace is the workspace of the caller; empty if it has none.
+	Workspace ident.Workspace
 }
 
 // Verdict is the admission decision on a request.
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -24,6 +24,10 @@
 // Region is the name of a group of failure domains.
 type Region string
 
+// Workspace is the name of a group of callers that share keys and a fair share of
+// the upstreams.
+type Workspace string
+
 // Route is the name of a group of requests of a service that behave alike.
 type Route string
 
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -55,6 +55,7 @@
 	version    ident.Version
 	route      ident.Route
 	caller     ident.Service
+	workspace  ident.Workspace
 	key        string
 	idempotent repeatability
 	chain      retry.Chain
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -314,6 +314,7 @@
 		Last:          last,
 		Key:           p.request.key,
 		Priority:      int32(p.request.priority),
+		Workspace:     string(p.request.workspace),
 	}
 	if !p.request.objective.IsZero() {
 		msg.ObjectiveNanos = int64(mono.Until(p.request.objective))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -16,6 +16,8 @@
 	Service ident.Service
 	Route   ident.Route
 	Caller  ident.Service
+	// Workspace is the workspace of the caller; empty if it has none.
+	Workspace ident.Workspace
 	// Idempotent is set if the request may run more than once.
 	Idempotent bool
 	// MaxAttempts is the maximum number of upstreams on which the request may
@@ -41,6 +43,7 @@
 		service:    r.Service,
 		route:      r.Route,
 		caller:     r.Caller,
+		workspace:  r.Workspace,
 		idempotent: repeatabilityOf(r.Idempotent),
 		chain:      retry.Chain{Attempts: max(1, r.MaxAttempts), Timeout: r.Timeout},
 		hasTimeout: true,
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -89,6 +89,9 @@
 	VersionServes func(s ident.Service, v ident.Version, now time.Time) bool
 	// Emit records an event.
 	Emit func(code event.Code, fields ...event.Field)
+	// OnRequestStart is called for every request that is sent to the upstream,
+	// under the same conditions as OnRequestEnd; nil does nothing.
+	OnRequestStart func(RequestStart)
 	// OnRequestEnd is called for every request that has ended, whether it ran
 	// or not. It is called with the Exit's lock held and must not call back
 	// into the Exit.
@@ -109,6 +112,9 @@
 	// slowPercent is the slowness reported for the upstream when the request
 	// was dispatched, in percent of its usual service time.
 	slowPercent int32
+	// objective is the time by which an answer has its full value; zero if there
+	// is none.
+	objective time.Time
 	// response is set before done is closed.
 	response *wirepb.CallResponse
 }
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -19,8 +19,10 @@
 	Version ident.Version
 	Route   ident.Route
 	Caller  ident.Service
-	Outcome wirepb.Outcome
-	Reason  wirepb.Reason
+	// Workspace is the workspace of the caller; empty if it has none.
+	Workspace ident.Workspace
+	Outcome   wirepb.Outcome
+	Reason    wirepb.Reason
 	// Failed is set if the upstream responded with a server error.
 	Failed bool
 	// DeadlineExceeded is set if the request reached its deadline without a
@@ -37,6 +39,19 @@
 	ResponseBytes int
 }
 
+// RequestStart describes a request that the exit sends to its upstream.
+type RequestStart struct {
+	ID        ident.Request
+	Route     ident.Route
+	Caller    ident.Service
+	Workspace ident.Workspace
+	Priority  int
+	// Objective and Deadline are on the clock of package mono; Objective is zero
+	// if the request has none.
+	Objective time.Time
+	Deadline  time.Time
+}
+
 func (e *Exit) newLimiter() limiter {
 	if e.opts.ReportsLoad {
 		return e.newSlotLimiter()
@@ -53,14 +68,16 @@
 // hold mu.
 func (e *Exit) offer(j *job, deadline, now time.Time) {
 	ticket := admit.Request{
-		ID:       j.id,
-		Deadline: deadline,
-		MayQueue: j.request.GetLast(),
-		Route:    ident.Route(j.request.GetRoute()),
-		Priority: int(j.request.GetPriority()),
+		ID:        j.id,
+		Deadline:  deadline,
+		MayQueue:  j.request.GetLast(),
+		Route:     ident.Route(j.request.GetRoute()),
+		Priority:  int(j.request.GetPriority()),
+		Workspace: ident.Workspace(j.request.GetWorkspace()),
 	}
 	if nanos := j.request.GetObjectiveNanos(); nanos != 0 {
-		ticket.Objective = now.Add(time.Duration(nanos))
+		j.objective = now.Add(time.Duration(nanos))
+		ticket.Objective = j.objective
 	}
 	decision := e.limiter.Offer(ticket, now)
 	switch decision.Verdict {
@@ -76,6 +93,17 @@
 // dispatchJob starts to run a job. The caller must hold mu.
 func (e *Exit) dispatchJob(j *job) {
 	j.slowPercent = e.limiter.Load().SlowdownPercent
+	if e.opts.OnRequestStart != nil {
+		e.opts.OnRequestStart(RequestStart{
+			ID:        j.id,
+			Route:     ident.Route(j.request.GetRoute()),
+			Caller:    ident.Service(j.request.GetCaller()),
+			Workspace: ident.Workspace(j.request.GetWorkspace()),
+			Priority:  int(j.request.GetPriority()),
+			Objective: j.objective,
+			Deadline:  time.Unix(0, j.request.GetDeadlineNanos()),
+		})
+	}
 	go e.runJob(j, e.upstream)
 }
 
@@ -195,6 +223,7 @@
 		Version:          ident.Version(req.GetVersion()),
 		Route:            ident.Route(req.GetRoute()),
 		Caller:           ident.Service(req.GetCaller()),
+		Workspace:        ident.Workspace(req.GetWorkspace()),
 		Outcome:          resp.GetOutcome(),
 		Reason:           resp.GetReason(),
 		Failed:           resp.GetOutcome() == wirepb.Outcome_OUTCOME_RAN && resp.GetStatus() >= http.StatusInternalServerError,
