pipe, fleet: run the requests of one connection at the same time

Cause: net/http starts a request only once the previous response of its connection is written.

A closing connection answers what was passed to the handler; the last response says that it closes.

TestClosingResponseArrivesWhole checks the same as before without the setting; TestClosingPipelinedResponsesArriveWhole checks both responses with it.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -31,6 +31,9 @@
 	nextID atomic.Int64
 	// domains is the number of failure domains that the nodes are spread over.
 	domains int
+	// pipelined is the number of requests of one connection that run at the same
+	// time.
+	pipelined int
 }
 
 type testNode struct {
@@ -61,7 +64,13 @@
 }
 
 func newClusterOf(t *testing.T, domains, size int, handler http.HandlerFunc) *cluster {
-	s := &cluster{t: t, store: fake.NewStore(), domains: domains}
+	return newPipelinedCluster(t, domains, size, 8, handler)
+}
+
+// newPipelinedCluster starts nodes that run the given number of requests of one
+// caller's connection at the same time.
+func newPipelinedCluster(t *testing.T, domains, size, pipelined int, handler http.HandlerFunc) *cluster {
+	s := &cluster{t: t, store: fake.NewStore(), domains: domains, pipelined: pipelined}
 	s.store.Put("op", "config", configJSON(1, ""))
 	for i := range size {
 		s.add(i, "v1", handler)
@@ -99,7 +108,7 @@
 		Heartbeat: time.Second, Grace: 3 * time.Second,
 		Budget:   &spec.SidecarBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Exposure: &spec.SidecarExposure{Share: 0.1, Slack: 50}, Cold: &spec.SidecarCold{Overage: 1.5, Slack: 5},
-		Evacuation: new(5 * time.Second), Probes: new(60.0), Memory: 128, Log: spec.Info,
+		Evacuation: new(5 * time.Second), Probes: new(60.0), Memory: 128, Pipelined: c.pipelined, Log: spec.Info,
 	}}
 	c.start(n)
 	c.announce(n)
@@ -372,7 +381,7 @@
 // limit would move a version or evacuate a domain on invented defaults, and a
 // missing limit must not stop the node.
 func TestOrdersForPartsThatAreOff(t *testing.T) {
-	c := &cluster{t: t, store: fake.NewStore(), domains: 1}
+	c := &cluster{t: t, store: fake.NewStore(), domains: 1, pipelined: 8}
 	c.store.Put("op", "config", configJSON(1, ""))
 	t.Cleanup(c.store.Close)
 	n := c.add(0, "v1", serveSlowly)
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -13,6 +13,7 @@
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/internal/conns"
 	"github.com/cicadahall/cicadahall/internal/peer"
+	"github.com/cicadahall/cicadahall/internal/wire/pipe"
 	"github.com/cicadahall/cicadahall/platform"
 )
 
@@ -31,7 +32,7 @@
 type port struct {
 	name      string
 	address   string
-	newServer func() *http.Server
+	newServer func() httpServer
 	// wrap returns the listener to serve; nil means the listener itself.
 	wrap func(net.Listener) net.Listener
 	// initial is the listener opened by New; it is nil after the first Run.
@@ -42,6 +43,14 @@
 	stopped  atomic.Bool
 }
 
+// httpServer serves the connections of a listener.
+type httpServer struct {
+	serve func(net.Listener) error
+	close func() error
+}
+
+func serverOf(s *http.Server) httpServer { return httpServer{serve: s.Serve, close: s.Close} }
+
 // callersPort is the name of the callers' port.
 const callersPort = "callers"
 
@@ -59,25 +68,21 @@
 	configs := []struct {
 		name, address string
 		optional      bool
-		newServer     func() *http.Server
+		newServer     func() httpServer
 	}{
-		{"peers", l.Peers, false, func() *http.Server {
-			return peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes, Quota: n.quota})
+		{"peers", l.Peers, false, func() httpServer {
+			return serverOf(peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes, Quota: n.quota}))
 		}},
-		{"admin", l.Admin, true, func() *http.Server { return newHTTPServer(n.adminHandler()) }},
-		{"beats", l.Beats, false, func() *http.Server {
-			return newHTTPServer(platform.HeartbeatHandler(platform.HeartbeatHandlers{
+		{"admin", l.Admin, true, func() httpServer { return serverOf(newHTTPServer(n.adminHandler())) }},
+		{"beats", l.Beats, false, func() httpServer {
+			return serverOf(newHTTPServer(platform.HeartbeatHandler(platform.HeartbeatHandlers{
 				OnHeartbeat: n.upstream.handleBeat,
 				OnDeparture: n.upstream.handleDeparture,
 				OnInvalid:   n.upstream.rejectMessage,
-			}))
-		}},
-		{"ready", l.Ready, false, func() *http.Server { return newHTTPServer(platform.ReadyHandler(n.ready)) }},
-		{callersPort, l.Callers, false, func() *http.Server {
-			s := newHTTPServer(n.frontend)
-			s.ConnState = n.callers.recordState
-			return s
+			})))
 		}},
+		{"ready", l.Ready, false, func() httpServer { return serverOf(newHTTPServer(platform.ReadyHandler(n.ready))) }},
+		{callersPort, l.Callers, false, n.newCallersServer},
 	}
 	for _, p := range configs {
 		if p.address == "" && p.optional {
@@ -114,6 +119,25 @@
 	}
 }
 
+// newCallersServer returns the server of the callers' port. The requests of one
+// connection run one after the other unless the settings allow more.
+func (n *Node) newCallersServer() httpServer {
+	if n.settings.Pipelined <= 1 {
+		s := newHTTPServer(n.frontend)
+		s.ConnState = n.callers.recordState
+		return serverOf(s)
+	}
+	s := &pipe.Server{
+		Handler:           n.frontend,
+		ConnState:         n.callers.recordState,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		MaxConcurrent:     n.settings.Pipelined,
+	}
+	return httpServer{serve: s.Serve, close: s.Close}
+}
+
 // Run serves until ctx ends.
 func (p *port) Run(ctx context.Context, ready func()) error {
 	listener := p.initial
@@ -130,7 +154,7 @@
 		listener = p.wrap(listener)
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- s.Serve(listener) }()
+	go func() { failed <- s.serve(listener) }()
 	ready()
 	select {
 	case err := <-failed:
@@ -140,5 +164,5 @@
 		<-ctx.Done()
 	case <-ctx.Done():
 	}
-	return errors.Join(ctx.Err(), s.Close())
+	return errors.Join(ctx.Err(), s.close())
 }
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -152,8 +152,20 @@
 // and discards the part of the response that is still on its way. The caller has
 // sent the next request without waiting.
 func TestClosingResponseArrivesWhole(t *testing.T) {
+	testClosingResponses(t, 1, 1)
+}
+
+// Guards against a closing connection that loses a request of a caller who doesn't
+// wait for responses, where such requests run at the same time.
+func TestClosingPipelinedResponsesArriveWhole(t *testing.T) {
+	testClosingResponses(t, 8, 2)
+}
+
+// testClosingResponses sends two requests without waiting to a stopping node and
+// reads the responses that are expected before the connection is closed.
+func testClosingResponses(t *testing.T, pipelined, responses int) {
 	body := strings.Repeat("x", 1<<20)
-	c := newCluster(t, 2, func(w http.ResponseWriter, r *http.Request) {
+	c := newPipelinedCluster(t, 2, 2, pipelined, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(200 * time.Millisecond)
 		_, _ = io.WriteString(w, body)
 	})
@@ -169,18 +181,22 @@
 		assert.NilError(t, err)
 		time.Sleep(50 * time.Millisecond)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	assert.NilError(t, err)
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	assert.Assert(t, resp.Close)
-	// The node writes the end of the response and closes the connection.
-	first := make([]byte, len(body)/2)
-	_, err = io.ReadFull(resp.Body, first)
-	assert.NilError(t, err)
-	time.Sleep(200 * time.Millisecond)
-	rest, err := io.ReadAll(resp.Body)
-	assert.NilError(t, err)
-	assert.Equal(t, len(first)+len(rest), len(body))
+	r := bufio.NewReader(conn)
+	for i := range responses {
+		resp, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, resp.Header.Get("X-Request-Id"), fmt.Sprintf("p%d", i))
+		assert.Equal(t, resp.Close, i == responses-1)
+		// The node writes the end of the response and closes the connection.
+		first := make([]byte, len(body)/2)
+		_, err = io.ReadFull(resp.Body, first)
+		assert.NilError(t, err)
+		time.Sleep(200 * time.Millisecond)
+		rest, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(first)+len(rest), len(body))
+	}
 }
 
 // Guards against a node that ends before it has answered a request that outlasts
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -202,6 +202,7 @@
 		"cold":       map[string]any{},
 		"evacuation": "5s",
 		"probes":     60,
+		"pipelined":  8,
 	})
 	if err != nil {
 		return err
--- a/internal/spec/sidecar.go
+++ b/internal/spec/sidecar.go
@@ -27,6 +27,7 @@
 	Evacuation *time.Duration   `json:"evacuation" spec:"optional,min=0s,max=10m" doc:"Time within which an evacuated failure domain gets no more requests; without it orders to evacuate are refused."`
 	Probes     *float64         `json:"probes" spec:"optional,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second; without it there are none."`
 	Memory     Megabytes        `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
+	Pipelined  int              `json:"pipelined" spec:"default=1,min=1,max=64" doc:"Number of requests on one caller's connection that run at the same time. Callers that send requests without waiting for the responses to earlier ones gain from more than 1."`
 	Log        Level            `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
 }
 
