--- a/route/route.go
+++ b/route/route.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/policy/access"
 )
 
 // Rule is a route: the requests to a host whose path begins with a prefix.
@@ -37,6 +38,8 @@
 	// MaxAttempts bounds the number of upstreams to which one request may be
 	// sent.
 	MaxAttempts int
+	// Public is set if the requests need no key; one that they carry is ignored.
+	Public bool
 }
 
 // WeightedService is a service that receives a share of a route's requests.
@@ -63,9 +66,11 @@
 
 // Table is the routing table of one configuration.
 type Table struct {
-	Revision    ident.Revision
-	Limits      Limits
-	Services    map[ident.Service]Service
+	Revision ident.Revision
+	Limits   Limits
+	Services map[ident.Service]Service
+	// Access holds the keys of the workspaces; nil if there are none.
+	Access      *access.Table
 	rulesByHost map[string][]Rule
 }
 
@@ -97,6 +102,13 @@
 	return t, nil
 }
 
+// WithAccess returns a copy of t with another table of keys.
+func (t *Table) WithAccess(a *access.Table) *Table {
+	next := *t
+	next.Access = a
+	return &next
+}
+
 // maxWeight bounds a weight, so that the sum of the weights of a rule fits into an
 // int.
 const maxWeight = 1 << 30
