fleet, event: check the keys of callers, name the workspace to the upstream

The entry looks the key up right after the route, by the configuration in force, and answers 401 before it reads the body; net/http on its own reads a small body first and waits for it without a limit. The body of a refused request is discarded (64 KiB, 2 s) so that pipelined requests are still served; otherwise the connection is closed. The workspace and its priority go on in entry.Request and as X-Tenant among the headers; the exit sets the header again, as an entry of the previous release passes on what its caller sent. Rows are stored and exchanged with digests in place of keys. Without tenants nothing changes.

Refused keys: counters by reason, one line a second. Metrics by workspace for 128 names and "other"; a change removes those of workspaces that are gone.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,6 +53,8 @@
 	Store    Name = "store"
 	Total    Name = "total"
 	Version  Name = "version"
+
+	Workspace Name = "workspace"
 )
 
 // Kind is the catalogue entry of one event code.
@@ -105,6 +107,7 @@
 	{RequestFailed, "request-failed", LevelInfo, []Name{Request, Fence, Route, Service, Outcome, Reason, Status, Deadline, Elapsed}, "A caller received a failure. Fields as in request-served."},
 	{AttemptEnded, "try-ended", LevelInfo, []Name{Request, Peer, Last, Outcome, Reason, Status, Slow, Queued, Running, Limit, Elapsed}, "One attempt of a request has ended at a node. Request is the id used between nodes; the load fields are those of the exit when it answered."},
 	{RequestRun, "request-run", LevelInfo, []Name{Request, Route, Instance, Outcome, Reason, Status, Error}, "The exit has sent a request to its upstream. Request is the id used between nodes."},
+	{RequestUnauthorized, "request-unauthorized", LevelWarn, []Name{Request, Route, Reason, Workspace, Count}, "The key of a caller isn't in the configuration in force and the caller received 401. Workspace is the one that had the key before. At most one line a second; count is the number of such requests since the last line, this one included."},
 	{ManifestPublished, "manifest-published", LevelInfo, []Name{Revision, Digest, Change}, "The store has accepted a manifest."},
 	{ManifestAdopted, "manifest-adopted", LevelInfo, []Name{Revision, Digest, Elapsed}, "This node has put a manifest into effect."},
 	{ManifestRejected, "manifest-rejected", LevelError, []Name{Revision, Digest, Error}, "This node can't parse an accepted manifest and keeps the previous one."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,6 +83,7 @@
 	rollouts   *rollouts
 	upstream   *upstream
 	frontend   *frontend
+	workspaces *workspaceMetrics
 	ports      []*port
 	callers    callerConns
 	draining   atomic.Bool
@@ -119,6 +120,7 @@
 	n.rollouts = newRollouts(n)
 	n.watcher = newWatcher(n)
 	n.operator = newOperatorState(n)
+	n.workspaces = newWorkspaceMetrics(n.metrics, func() []ident.Workspace { return n.operator.workspaces().Names() })
 	n.membership = newMembership(n)
 	n.upstream = newUpstream(n)
 	n.exit = n.newExit()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -39,8 +39,10 @@
 	service  string
 	version  string
 	sequence int64
-	stop     context.CancelFunc
-	ended    chan error
+	// log receives the node's log lines if it is set.
+	log   io.Writer
+	stop  context.CancelFunc
+	ended chan error
 }
 
 const configTemplate = `{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -111,7 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	n.ended = make(chan error, 1)
-	f, err := fleet.New(fleet.Options{Settings: n.settings, Reload: func() (*spec.Sidecar, error) { return n.settings, nil }})
+	f, err := fleet.New(fleet.Options{Settings: n.settings, Log: n.log, Reload: func() (*spec.Sidecar, error) { return n.settings, nil }})
 	assert.NilError(c.t, err)
 	ended := n.ended
 	go func() { ended <- f.Run(ctx, nil) }()
--- a/internal/fleet/frontend.go
+++ b/internal/fleet/frontend.go
@@ -16,6 +16,7 @@
 	"github.com/cicadahall/cicadahall/internal/call"
 	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/entry"
+	"github.com/cicadahall/cicadahall/internal/policy/access"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 	"github.com/cicadahall/cicadahall/platform"
 	"github.com/cicadahall/cicadahall/route"
@@ -40,6 +41,8 @@
 	inFlight atomic.Int64
 	mu       sync.Mutex
 	splitter *route.Splitter
+	// unauthorized limits the log lines about unknown keys.
+	unauthorized lineLimit
 }
 
 func newFrontend(node *Node) *frontend {
@@ -79,6 +82,9 @@
 		return
 	}
 	q := &inbound{writer: w, request: r, headers: in, rule: rule, lease: lease, startedAt: startedAt}
+	if !f.authorize(q, t.Access) {
+		return
+	}
 	q.timeout = q.effectiveTimeout()
 	body, err := q.readBody(int64(t.Limits.MaxBodyBytes))
 	if err != nil {
@@ -94,6 +100,7 @@
 	request *http.Request
 	headers platform.CallerHeaders
 	rule    route.Rule
+	grant   access.Grant
 	lease   *quota.Lease
 	// timeout is the time from startedAt in which the caller expects a response.
 	timeout   time.Duration
@@ -135,6 +142,7 @@
 func (f *frontend) rejectBody(q *inbound, err error) {
 	switch {
 	case errors.Is(err, quota.ErrFull):
+		f.node.workspaces.countRefusal(q.grant.Workspace)
 		f.refuse(q.writer, q.headers, "memory")
 	case errors.Is(err, quota.ErrTooLarge):
 		f.fail(q.writer, q.headers, http.StatusRequestEntityTooLarge, "body size", q.startedAt, q.rule.Name)
@@ -154,11 +162,12 @@
 		Service:     f.chooseService(q.rule),
 		Route:       q.rule.Name,
 		Caller:      f.callerService(),
+		Workspace:   q.grant.Workspace,
 		Idempotent:  q.rule.Idempotent,
 		MaxAttempts: q.rule.MaxAttempts,
 		Timeout:     timeout,
 		Objective:   q.rule.Objective - time.Since(q.startedAt),
-		Priority:    q.rule.Priority,
+		Priority:    q.grant.Priority(q.rule.Priority),
 		Host:        r.Host,
 		Method:      r.Method,
 		Path:        r.RequestURI,
@@ -264,6 +273,7 @@
 	switch {
 	case resp.GetOutcome() == wirepb.Outcome_OUTCOME_REFUSED:
 		code, name = event.RequestRefused, "front.refused"
+		f.node.workspaces.countRefusal(req.Workspace)
 	case resp.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN, resp.GetStatus() >= http.StatusInternalServerError:
 		code, name = event.RequestFailed, "front.failed"
 	}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -152,6 +152,7 @@
 
 // apply merges changes into the replica and acts on the rows that are newer.
 func (st *operatorState) apply(changes store.Changes) {
+	st.redact(changes.Rows)
 	st.mu.Lock()
 	updated := st.replica.apply(changes)
 	if len(updated) > 0 {
@@ -209,10 +210,15 @@
 		if old != nil && t.Revision <= old.Revision {
 			return
 		}
-		if st.currentTable.CompareAndSwap(old, t) {
+		next := t
+		if old != nil {
+			next = t.WithAccess(t.Access.Succeed(old.Access))
+		}
+		if st.currentTable.CompareAndSwap(old, next) {
 			break
 		}
 	}
+	st.node.workspaces.update()
 	st.updateColdLimit()
 	st.node.log.Emit(event.ManifestAdopted, event.NewField(event.Revision, t.Revision), event.NewField(event.Count, t.Len()))
 }
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -278,6 +278,10 @@
 	call.CopyHeaders(h, req.GetHeaders())
 	host := h.Get("Host")
 	h.Del("Host")
+	if u.node.operator.workspaces() != nil {
+		// An entry of the previous release passes on what its caller has sent.
+		platform.SetWorkspace(h, ident.Workspace(req.GetWorkspace()))
+	}
 	reply := platform.Send(ctx, u.pool, target.Address, platform.UpstreamRequest{
 		Method:     req.GetMethod(),
 		Path:       req.GetPath(),
