chain, fleet: calls of an upstream go before new requests

A node learns which routes its upstream calls: such requests always find it busy with the run that makes them. With 'calls' set to first they go before all priorities at the exits' queues.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,6 +83,7 @@
 	rollouts   *rollouts
 	upstream   *upstream
 	frontend   *frontend
+	calls      *callDetector
 	workspaces *workspaceMetrics
 	ports      []*port
 	callers    callerConns
@@ -123,6 +124,7 @@
 	n.workspaces = newWorkspaceMetrics(n.metrics, func() []ident.Workspace { return n.operator.workspaces().Names() })
 	n.membership = newMembership(n)
 	n.upstream = newUpstream(n)
+	n.calls = newCallDetector(n)
 	n.exit = n.newExit()
 	n.entry = n.newEntry()
 	n.frontend = newFrontend(n)
@@ -178,6 +180,7 @@
 		DomainAdmits:     func(time.Time) bool { return !n.operator.isEvacuated(n.settings.Domain) },
 		VersionServes:    n.rollouts.admits,
 		Emit:             n.log.Emit,
+		OnRequestStart:   n.recordStart,
 		OnRequestEnd:     n.recordRun,
 		OnUpstreamChange: n.membership.requestRefresh,
 	})
@@ -241,7 +244,12 @@
 	return 1
 }
 
+func (n *Node) recordStart(exit.RequestStart) {
+	n.calls.recordStart()
+}
+
 func (n *Node) recordRun(r exit.RequestResult) {
+	n.calls.recordEnd(r)
 	n.rollouts.recordEnd(r)
 	n.countRun(r)
 }
--- a/internal/fleet/frontend.go
+++ b/internal/fleet/frontend.go
@@ -167,7 +167,7 @@
 		MaxAttempts: q.rule.MaxAttempts,
 		Timeout:     timeout,
 		Objective:   q.rule.Objective - time.Since(q.startedAt),
-		Priority:    q.grant.Priority(q.rule.Priority),
+		Priority:    f.node.calls.priority(q.rule, q.grant.Priority(q.rule.Priority)),
 		Host:        r.Host,
 		Method:      r.Method,
 		Path:        r.RequestURI,
--- a/internal/spec/sidecar.go
+++ b/internal/spec/sidecar.go
@@ -28,6 +28,7 @@
 	Probes     *float64         `json:"probes" spec:"optional,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second; without it there are none."`
 	Memory     Megabytes        `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
 	Pipelined  int              `json:"pipelined" spec:"default=1,min=1,max=64" doc:"Number of requests on one caller's connection that run at the same time. Callers that send requests without waiting for the responses to earlier ones gain from more than 1."`
+	Calls      CallOrder        `json:"calls" spec:"default=ranked,enum=ranked|first" doc:"Order of the calls that the upstream makes while it runs a request: by the priority of their routes, or before all new requests."`
 	Log        Level            `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
 }
 
@@ -72,6 +73,12 @@
 // AdvertisedAddress returns the address at which other nodes reach this node.
 func (l SidecarListen) AdvertisedAddress() string { return cmp.Or(l.Public, l.Peers) }
 
+// CallOrder is the order of calls among requests.
+type CallOrder string
+
+// CallsFirst lets calls go before all new requests.
+const CallsFirst CallOrder = "first"
+
 // Part is a part of a node that its settings switch on.
 type Part string
 
