admit, exit: a full queue refuses the request whose refusal costs least

Cause: the full queue of a SlotLimiter refused whoever arrived last, and the limit for requests that miss their objective counted all queued ones, so that less urgent requests kept urgent ones out.

Offer now displaces the queued request whose refusal costs least, if that is less than refusing the offered one: first those that can't meet their objective any more, then the least urgent. Requests with an equal loss don't displace each other. The displaced request is expired with reason Full; the exit answers it as refused, not run, with the expected wait as its retry time, and counts it (Exit.Displaced). The limit for requests that miss their objective counts those of the same and of more urgent priorities.

TestFullQueueDisplacesLeastCost, TestFullQueueDisplacesMissedObjective and TestLessUrgentDoNotKeepUrgentOut fail on the previous code. The tests of admit and internal/exit pass unchanged. Value served is not measured yet.

--- /dev/null
+++ b/admit/leastcost_test.go
@@ -0,0 +1,101 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadahall/cicadahall/admit"
+	"github.com/cicadahall/cicadahall/ident"
+)
+
+// expiry is a call of SlotLimiterOptions.Expire.
+type expiry struct {
+	id         uint64
+	reason     admit.Reason
+	retryAfter time.Duration
+}
+
+// newBusySlotLimiter returns a SlotLimiter that has learned a service time of 10 ms
+// and whose slots are all in use, with the calls of its Expire.
+func newBusySlotLimiter(slots, maxQueued int) (*admit.SlotLimiter, *[]expiry, time.Time) {
+	var g *admit.SlotLimiter
+	var expired []expiry
+	g = admit.NewSlotLimiter(admit.SlotLimiterOptions{
+		Slots: ident.Slots(slots), MaxQueued: maxQueued,
+		Start: func(admit.Request, time.Time) {},
+		Expire: func(k admit.Request, r admit.Reason, _ time.Time) {
+			expired = append(expired, expiry{k.ID.Low64(), r, g.EstimateWait(k)})
+		},
+	})
+	now := trainSlotLimiter(g, 10*time.Millisecond)
+	for n := range slots {
+		g.Offer(admit.Request{ID: id(2000 + n), Deadline: now.Add(time.Minute)}, now)
+	}
+	return g, &expired, now
+}
+
+func ranked(n, priority int, objective time.Duration, now time.Time) admit.Request {
+	return admit.Request{ID: id(n), Priority: priority, Objective: now.Add(objective), Deadline: now.Add(10 * time.Second), MayQueue: true}
+}
+
+// Guards against a full queue that refuses an urgent request while it holds less
+// urgent ones or ones that miss their objective, and against a displaced request
+// that isn't told when to return.
+func TestFullQueueDisplacesLeastCost(t *testing.T) {
+	g, expired, now := newBusySlotLimiter(1, 3)
+	for n, priority := range []int{1, 2, 0} {
+		assert.Equal(t, g.Offer(ranked(n+1, priority, time.Second, now), now).Verdict, admit.Queue)
+	}
+	assert.Equal(t, g.Offer(ranked(4, 0, time.Second, now), now).Verdict, admit.Queue)
+	assert.Equal(t, len(*expired), 1)
+	displaced := (*expired)[0]
+	assert.Equal(t, displaced.id, uint64(2), "priority 2 costs least")
+	assert.Equal(t, displaced.reason, admit.Full)
+	assert.Assert(t, displaced.retryAfter > 0)
+
+	assert.Equal(t, g.Offer(ranked(5, 0, time.Second, now), now).Verdict, admit.Queue)
+	assert.Equal(t, (*expired)[1].id, uint64(1))
+	for _, priority := range []int{0, 1} {
+		d := g.Offer(ranked(6, priority, time.Second, now), now)
+		assert.Equal(t, d.Reason, admit.Full, "an equal or less urgent request displaces none")
+		assert.Assert(t, d.RetryAfter > 0)
+	}
+	k := ranked(7, 0, time.Second, now)
+	k.MayQueue = false
+	assert.Equal(t, g.Offer(k, now).Reason, admit.Full, "a request that may not queue displaces none")
+	assert.Equal(t, len(*expired), 2)
+	assert.Equal(t, int(g.Load().Queued), 3)
+}
+
+// Guards against a queue full of requests that have missed their objective, which
+// refuses a less urgent one that can meet it.
+func TestFullQueueDisplacesMissedObjective(t *testing.T) {
+	g, expired, now := newBusySlotLimiter(1, 3)
+	for n, objective := range []time.Duration{time.Second, 80 * time.Millisecond, time.Second} {
+		assert.Equal(t, g.Offer(ranked(n+1, 0, objective, now), now).Verdict, admit.Queue)
+	}
+	now = now.Add(100 * time.Millisecond)
+	assert.Equal(t, g.Offer(ranked(4, 1, time.Second, now), now).Verdict, admit.Queue)
+	assert.Equal(t, len(*expired), 1)
+	assert.Equal(t, (*expired)[0].id, uint64(2))
+}
+
+// Guards against an urgent request that is refused because it misses its objective
+// while the queue holds only less urgent ones, and against a queue without a limit
+// for such requests.
+func TestLessUrgentDoNotKeepUrgentOut(t *testing.T) {
+	const slots = 4
+	g, _, now := newBusySlotLimiter(slots, 12)
+	for n := range 6 {
+		assert.Equal(t, g.Offer(ranked(n+1, 2, time.Second, now), now).Verdict, admit.Queue)
+	}
+	// No request of 10 ms meets this objective.
+	const missed = 5 * time.Millisecond
+	for n := range slots / 2 {
+		assert.Equal(t, g.Offer(ranked(n+10, 1, missed, now), now).Verdict, admit.Queue)
+	}
+	assert.Equal(t, g.Offer(ranked(20, 1, missed, now), now).Reason, admit.Full)
+	assert.Equal(t, g.Offer(ranked(21, 0, missed, now), now).Verdict, admit.Queue)
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -54,6 +54,16 @@
 	return n
 }
 
+// countUrgent returns the number of queued requests of the given priority and of
+// more urgent ones.
+func (q *queue) countUrgent(priority int) int {
+	n := 0
+	for i := len(q.items) - 1; i >= 0 && q.items[i].request.Priority <= priority; i-- {
+		n++
+	}
+	return n
+}
+
 func (q *queue) push(t Request) {
 	q.sequence++
 	w := queuedRequest{request: t, sequence: q.sequence}
@@ -75,13 +85,21 @@
 	return t
 }
 
+// none is the index of no request.
+const none = -1
+
+func (q *queue) removeAt(i int) Request {
+	t := q.items[i].request
+	q.items = slices.Delete(q.items, i, i+1)
+	return t
+}
+
 // popPreferred removes and returns the first preferred request, or the first
 // request if none is preferred.
 func (q *queue) popPreferred(preferred func(Request) bool) Request {
 	for i := len(q.items) - 1; i >= 0; i-- {
-		if t := q.items[i].request; preferred(t) {
-			q.items = slices.Delete(q.items, i, i+1)
-			return t
+		if preferred(q.items[i].request) {
+			return q.removeAt(i)
 		}
 	}
 	return q.pop()
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/policy/cost"
 )
 
 // SlotLimiter admits requests to an upstream that reports its own load: the
@@ -67,7 +68,8 @@
 	// MaxQueued is the queue capacity; 0 means slotLimiterQueuedPerSlot for
 	// each slot.
 	MaxQueued int
-	// Start and Expire are as in Options.
+	// Start and Expire are as in Options. During a call of Expire with reason
+	// Full, EstimateWait returns the time after which the request may be retried.
 	Start  func(Request, time.Time)
 	Expire func(Request, Reason, time.Time)
 }
@@ -157,7 +159,9 @@
 // Offer decides about a request. A request that isn't expected to end by its
 // deadline is refused, because it would occupy a slot without producing a
 // usable answer. A request that may still be retried on another member is
-// refused while the upstream is slow, unless it meets its objective anyway.
+// refused while the upstream is slow, unless it meets its objective anyway. If the
+// queue is full, the request whose refusal costs least is refused: the offered
+// one, or a queued one, which is then expired with reason Full.
 func (g *SlotLimiter) Offer(t Request, now time.Time) Decision {
 	g.now = now
 	g.recordObjective(t, now)
@@ -178,19 +182,43 @@
 		return Decision{Verdict: Run}
 	}
 	wait := g.EstimateWait(t)
+	displaced := g.displaceable(t, now, wait)
 	switch {
-	case !t.MayQueue || g.queue.len() >= g.options.MaxQueued:
+	case !t.MayQueue || g.queueFull() && displaced == none:
 		return Decision{Reason: Full, RetryAfter: wait}
 	case left < wait+expected:
 		return Decision{Reason: Late, RetryAfter: wait}
-	case g.missesObjective(t, now, wait+expected) && g.queue.len() >= g.slots/objectiveQueueDivisor:
+	case g.missesObjective(t, now, wait+expected) && g.queue.countUrgent(t.Priority) >= g.slots/objectiveQueueDivisor:
 		return Decision{Reason: Full, RetryAfter: wait}
 	}
+	if g.queueFull() {
+		g.options.Expire(g.queue.removeAt(displaced), Full, now)
+	}
 	g.queue.push(t)
 	g.startQueued(now)
 	return Decision{Verdict: Queue}
 }
 
+func (g *SlotLimiter) queueFull() bool { return g.queue.len() >= g.options.MaxQueued }
+
+// displaceable returns the index of the queued request whose refusal costs least,
+// or none if that isn't less than the refusal of t, which would wait as long as
+// stated. Queued requests are compared as if they started now, so that no request
+// displaces one of its own priority only because it arrived later.
+func (g *SlotLimiter) displaceable(t Request, now time.Time, wait time.Duration) int {
+	index, least := none, g.costOf(t, now).Refusal(now.Add(wait))
+	for i, w := range g.queue.items {
+		if loss := g.costOf(w.request, now).Refusal(now); loss.Less(least) {
+			index, least = i, loss
+		}
+	}
+	return index
+}
+
+func (g *SlotLimiter) costOf(t Request, now time.Time) cost.Request {
+	return cost.Request{Priority: t.Priority, Objective: t.Objective, Work: g.expectedServiceTime(t, now)}
+}
+
 // hasRoom reports whether the upstream has a free slot.
 func (g *SlotLimiter) hasRoom(now time.Time) bool {
 	used := len(g.running)
@@ -205,9 +233,9 @@
 const untrackedTTL = 200 * time.Millisecond
 
 // objectiveQueueDivisor limits queued requests that miss their objective: they
-// are admitted while the queue is shorter than the slots divided by it. Their
-// answers have little value left, and those behind them would miss their
-// objective, too.
+// are admitted while fewer requests of the same or a more urgent priority are
+// queued than the slots divided by it. Their answers have little value left, and
+// those behind them would miss their objective, too.
 const objectiveQueueDivisor = 2
 
 // missesObjective reports whether t ends after its objective if it ends after
--- a/internal/exit/exit.go
+++ b/internal/exit/exit.go
@@ -133,6 +133,7 @@
 	upstream   Upstream
 	loadReport timedReport
 	coldRate   ColdRate
+	displaced  uint64
 	// draining is set while no request is admitted; closing is set once
 	// draining is permanent.
 	draining bool
--- a/internal/exit/limit.go
+++ b/internal/exit/limit.go
@@ -111,7 +111,20 @@
 // hold mu.
 func (e *Exit) expireJob(t admit.Request, reason admit.Reason, now time.Time) {
 	j := e.jobs[t.ID]
-	e.refuseJob(j, refusal(j.request, wireReason(reason)), now)
+	resp := refusal(j.request, wireReason(reason))
+	if limiter, ok := e.limiter.(*admit.SlotLimiter); ok && reason == admit.Full {
+		resp.RetryNanos = int64(limiter.EstimateWait(t))
+		e.displaced++
+	}
+	e.refuseJob(j, resp, now)
+}
+
+// Displaced returns the number of requests that left the full queue without
+// running, because refusing another one would have cost its caller more.
+func (e *Exit) Displaced() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.displaced
 }
 
 // refuseJob ends a job that the limiter does not run. The caller must hold mu.
