admit: order the queue by what waiting costs; keep places for each priority

Cause: within a priority the queue was ordered by deadline, so that a long request with an early deadline kept short ones waiting past their objectives, and under lasting load the least urgent requests never started.

SlotLimiter now starts the queued request with the first cost.Rank: those that meet their objective first, then by priority, then by the value lost per slot time if the request waits for another service time, estimated as exp(-slack/service time)/work. Those that miss their objective follow by deadline. A request that has waited for more than half of its time moves up one step: to the next priority or, if it misses its objective, behind those of its priority that meet theirs. Equal requests start in order of arrival.

Moving up alone did not help: the least urgent requests were displaced before. Each priority now keeps half as many queue places as there are slots for requests that meet their objective.

Mutations seen failing: no places and no moving up (TestLeastUrgentIsNotStarved), no division by work (TestOrderWithinPriority, TestRank), late requests that never move up (TestRank).

--- a/admit/leastcost_test.go
+++ b/admit/leastcost_test.go
@@ -99,3 +99,68 @@
 	assert.Equal(t, g.Offer(ranked(20, 1, missed, now), now).Reason, admit.Full)
 	assert.Equal(t, g.Offer(ranked(21, 0, missed, now), now).Verdict, admit.Queue)
 }
+
+// Guards against an order within a priority that keeps the request waiting which
+// has the least slack for its work, against one that isn't first in, first out for
+// equal requests, and against a request that less urgent ones overtake.
+func TestOrderWithinPriority(t *testing.T) {
+	var order []uint64
+	g := admit.NewSlotLimiter(admit.SlotLimiterOptions{
+		Slots: 1, MaxQueued: 9,
+		Start:  func(k admit.Request, _ time.Time) { order = append(order, k.ID.Low64()) },
+		Expire: func(admit.Request, admit.Reason, time.Time) {},
+	})
+	now := trainSlotLimiter(g, 10*time.Millisecond)
+	long := admit.Request{ID: id(90), Route: "long", Deadline: now.Add(time.Minute)}
+	g.Offer(long, now)
+	now = now.Add(100 * time.Millisecond)
+	g.Finish(long.ID, admit.Done, now)
+	g.Offer(admit.Request{ID: id(91), Deadline: now.Add(time.Minute)}, now)
+	for n, k := range []struct {
+		route     ident.Route
+		priority  int
+		objective time.Duration
+	}{
+		{"", 1, 300 * time.Millisecond},
+		// Its slack is that of the next two, which do more per slot time.
+		{"long", 0, 2090 * time.Millisecond},
+		{"", 0, 2 * time.Second},
+		{"", 0, 2 * time.Second},
+		{"long", 0, 500 * time.Millisecond},
+		{"", 0, 300 * time.Millisecond},
+	} {
+		r := ranked(n+1, k.priority, k.objective, now)
+		r.Route = k.route
+		// The order of the deadlines is the reverse of what is wanted.
+		r.Deadline = r.Deadline.Add(-time.Duration(n) * time.Millisecond)
+		assert.Equal(t, g.Offer(r, now).Verdict, admit.Queue)
+	}
+	g.Finish(id(91), admit.Done, now)
+	for n := range 5 {
+		g.Finish(id(int(order[n])), admit.Broken, now)
+	}
+	assert.DeepEqual(t, order, []uint64{6, 5, 3, 4, 2, 1})
+}
+
+// Guards against requests of a low priority that are all displaced before they
+// have waited long enough to move up: an upstream with far more urgent requests
+// than slots must still serve some of the others.
+func TestLeastUrgentIsNotStarved(t *testing.T) {
+	kinds := []requestKind{
+		{name: "urgent", route: "a", priority: 0, rate: 20, work: 10 * time.Millisecond, objective: 150 * time.Millisecond, deadline: time.Second},
+		{name: "usual", route: "b", priority: 1, rate: 80, work: 10 * time.Millisecond, objective: 150 * time.Millisecond, deadline: 200 * time.Millisecond},
+		{name: "least urgent", route: "c", priority: 2, rate: 40, work: 10 * time.Millisecond, objective: 150 * time.Millisecond, deadline: 200 * time.Millisecond},
+	}
+	arrivals := poissonArrivals(kinds, 6, 1.4, 20*time.Second, 1)
+	served, offered := make([]float64, 4), make([]float64, 4)
+	for n, o := range runModel(newLeastCost, kinds, 6, arrivals, false) {
+		for _, i := range []int{arrivals[n].kind, 3} {
+			offered[i]++
+			served[i] += float64(o.starts)
+		}
+	}
+	// No kind gets less than a quarter of the overall rate (docs/demand.md).
+	for i, k := range kinds {
+		assert.Assert(t, served[i]/offered[i] >= served[3]/offered[3]/4, "%s: served %v of %v", k.name, served, offered)
+	}
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -1,7 +1,9 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
 )
@@ -11,6 +13,8 @@
 type queuedRequest struct {
 	request  Request
 	sequence uint64
+	// arrived is when the request was queued.
+	arrived time.Time
 }
 
 // before reports whether w runs before o: by priority, then by deadline. The
@@ -25,7 +29,8 @@
 	return w.request.Deadline.Before(o.request.Deadline)
 }
 
-// queue holds requests in running order, the next one at the end of the slice.
+// queue holds requests by priority and deadline, the next one at the end of the
+// slice. A Limiter runs them in this order; a SlotLimiter chooses by rank.
 // The capacity is small, so a sorted slice is faster than a heap and yields
 // the position of a request at no extra cost. The slice grows with the requests:
 // the capacity follows from the slots that an upstream announces.
@@ -64,9 +69,11 @@
 	return n
 }
 
-func (q *queue) push(t Request) {
+func (q *queue) push(t Request) { q.pushAt(t, time.Time{}) }
+
+func (q *queue) pushAt(t Request, now time.Time) {
 	q.sequence++
-	w := queuedRequest{request: t, sequence: q.sequence}
+	w := queuedRequest{request: t, sequence: q.sequence, arrived: now}
 	i := len(q.items)
 	q.items = append(q.items, w)
 	for ; i > 0 && q.items[i-1].before(w); i-- {
@@ -85,6 +92,16 @@
 	return t
 }
 
+// prioritySpan returns the number of queued requests with the priority of the one
+// at index i.
+func (q *queue) prioritySpan(i int) int {
+	priority := q.items[i].request.Priority
+	compare := func(w queuedRequest, p int) int { return cmp.Compare(p, w.request.Priority) }
+	first, _ := slices.BinarySearchFunc(q.items, priority, compare)
+	end, _ := slices.BinarySearchFunc(q.items, priority-1, compare)
+	return end - first
+}
+
 // none is the index of no request.
 const none = -1
 
@@ -94,17 +111,6 @@
 	return t
 }
 
-// popPreferred removes and returns the first preferred request, or the first
-// request if none is preferred.
-func (q *queue) popPreferred(preferred func(Request) bool) Request {
-	for i := len(q.items) - 1; i >= 0; i-- {
-		if preferred(q.items[i].request) {
-			return q.removeAt(i)
-		}
-	}
-	return q.pop()
-}
-
 // removeMatching removes the requests that match and passes each to onRemove.
 func (q *queue) removeMatching(match func(Request) bool, onRemove func(Request)) {
 	var removed []Request
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -182,7 +182,10 @@
 		return Decision{Verdict: Run}
 	}
 	wait := g.EstimateWait(t)
-	displaced := g.displaceable(t, now, wait)
+	displaced := none
+	if t.MayQueue && g.queueFull() {
+		displaced = g.displaceable(t, now, wait)
+	}
 	switch {
 	case !t.MayQueue || g.queueFull() && displaced == none:
 		return Decision{Reason: Full, RetryAfter: wait}
@@ -194,7 +197,7 @@
 	if g.queueFull() {
 		g.options.Expire(g.queue.removeAt(displaced), Full, now)
 	}
-	g.queue.push(t)
+	g.queue.pushAt(t, now)
 	g.startQueued(now)
 	return Decision{Verdict: Queue}
 }
@@ -204,19 +207,32 @@
 // displaceable returns the index of the queued request whose refusal costs least,
 // or none if that isn't less than the refusal of t, which would wait as long as
 // stated. Queued requests are compared as if they started now, so that no request
-// displaces one of its own priority only because it arrived later.
+// displaces one of its own priority only because it arrived later. Of requests
+// that cost the same, the one is displaced that would start last.
 func (g *SlotLimiter) displaceable(t Request, now time.Time, wait time.Duration) int {
-	index, least := none, g.costOf(t, now).Refusal(now.Add(wait))
+	index, least := none, g.costOf(queuedRequest{request: t, arrived: now}, now).Refusal(now.Add(wait))
+	var last cost.Rank
 	for i, w := range g.queue.items {
-		if loss := g.costOf(w.request, now).Refusal(now); loss.Less(least) {
-			index, least = i, loss
+		loss, rank := g.costOf(w, now).Refusal(now), g.rank(w, now)
+		if loss.MeetsObjective && g.queue.prioritySpan(i) <= g.slots/reservedQueueDivisor {
+			continue
+		}
+		if loss.Less(least) || index != none && !least.Less(loss) && last.Before(rank) {
+			index, least, last = i, loss, rank
 		}
 	}
 	return index
 }
 
-func (g *SlotLimiter) costOf(t Request, now time.Time) cost.Request {
-	return cost.Request{Priority: t.Priority, Objective: t.Objective, Work: g.expectedServiceTime(t, now)}
+func (g *SlotLimiter) costOf(w queuedRequest, now time.Time) cost.Request {
+	t := w.request
+	return cost.Request{
+		Priority:  t.Priority,
+		Arrived:   w.arrived,
+		Deadline:  t.Deadline,
+		Objective: t.Objective,
+		Work:      g.expectedServiceTime(t, now),
+	}
 }
 
 // hasRoom reports whether the upstream has a free slot.
@@ -238,6 +254,14 @@
 // those behind them would miss their objective, too.
 const objectiveQueueDivisor = 2
 
+// reservedQueueDivisor is the number of slots for each queue place that more
+// urgent requests don't take from a priority whose requests meet their objective.
+// Without such places, the requests of a priority are displaced before they have
+// waited long enough to move up, and the least urgent ones get almost nothing
+// while the load exceeds the slots. The number of places is that of requests that
+// miss their objective.
+const reservedQueueDivisor = objectiveQueueDivisor
+
 // missesObjective reports whether t ends after its objective if it ends after
 // the given duration. It reports true for a request without an objective, so that
 // such requests are queued last and refused first.
@@ -353,22 +377,41 @@
 	g.expireLate(now)
 }
 
-// startQueued starts queued requests while there is a free slot: first those
-// that meet their objective, then the others, each by priority and deadline. It
-// stops when a cold upstream may start no more requests now, and expires queued
-// requests that can't end by their deadline any more.
+// startQueued starts queued requests by rank (see cost.Request.Rank) while there is
+// a free slot. It stops when a cold upstream may start no more requests now, and
+// expires queued requests that can't end by their deadline any more.
 func (g *SlotLimiter) startQueued(now time.Time) {
 	for g.queue.len() > 0 && g.hasRoom(now) && !g.draining {
 		g.expireLate(now)
 		if g.queue.len() == 0 || !g.coldStart.take(now) {
 			return
 		}
-		t := g.queue.popPreferred(func(t Request) bool { return !g.missesObjective(t, now, g.expectedServiceTime(t, now)) })
+		t := g.queue.removeAt(g.first(now))
 		g.markRunning(t, now)
 		g.options.Start(t, now)
 	}
 }
 
+// first returns the index of the queued request that starts next.
+func (g *SlotLimiter) first(now time.Time) int {
+	index, best := none, cost.Rank{}
+	for i, w := range g.queue.items {
+		rank := g.rank(w, now)
+		if index == none || rank.Before(best) || !best.Before(rank) && w.sequence < g.queue.items[index].sequence {
+			index, best = i, rank
+		}
+	}
+	return index
+}
+
+func (g *SlotLimiter) rank(w queuedRequest, now time.Time) cost.Rank {
+	serviceTime := g.meanServiceTime
+	if serviceTime == 0 {
+		serviceTime = initialRouteServiceTime
+	}
+	return g.costOf(w, now).Rank(now, serviceTime)
+}
+
 // expireLate expires queued requests that can't end by their deadline any more.
 func (g *SlotLimiter) expireLate(now time.Time) {
 	g.queue.removeMatching(func(t Request) bool {
--- a/internal/policy/cost/cost_test.go
+++ b/internal/policy/cost/cost_test.go
@@ -32,3 +32,43 @@
 		}
 	}
 }
+
+// Guards against an order in which a less urgent request or one that misses its
+// objective goes first, in which a short request with little slack waits behind a
+// long one that loses nothing, and in which a request that has waited for long
+// never moves up.
+func TestRank(t *testing.T) {
+	const serviceTime = 100 * time.Millisecond
+	request := func(priority int, work, objective time.Duration) cost.Request {
+		return cost.Request{Priority: priority, Arrived: start, Deadline: start.Add(10 * time.Second), Objective: start.Add(objective), Work: work}
+	}
+	aged := func(r cost.Request) cost.Request {
+		r.Arrived, r.Deadline = start.Add(-2*time.Second), start.Add(time.Second)
+		return r
+	}
+	earlier := request(0, time.Second, 500*time.Millisecond)
+	earlier.Deadline = start.Add(2 * time.Second)
+	order := []cost.Request{
+		aged(request(0, 100*time.Millisecond, time.Second)),
+		aged(request(1, 100*time.Millisecond, 200*time.Millisecond)),
+		request(0, 100*time.Millisecond, 200*time.Millisecond),
+		request(0, 400*time.Millisecond, 500*time.Millisecond),
+		request(0, 100*time.Millisecond, time.Second),
+		aged(request(0, time.Second, 500*time.Millisecond)),
+		request(1, 100*time.Millisecond, 200*time.Millisecond),
+		request(2, 100*time.Millisecond, 200*time.Millisecond),
+		earlier,
+		request(0, time.Second, 500*time.Millisecond),
+		request(1, time.Second, 500*time.Millisecond),
+	}
+	// The first two have the level of the most urgent priority or a higher one.
+	for i, r := range order {
+		for j, o := range order {
+			if i < j && i != 1 {
+				assert.Assert(t, r.Rank(start, serviceTime).Before(o.Rank(start, serviceTime)), "%d before %d", i, j)
+				assert.Assert(t, !o.Rank(start, serviceTime).Before(r.Rank(start, serviceTime)), "%d before %d", j, i)
+			}
+		}
+	}
+	assert.Assert(t, order[1].Rank(start, serviceTime) == order[2].Rank(start, serviceTime), "moved up by exactly one priority")
+}
