admit: estimate the wait from the work ahead

Cause: EstimateWait counted each request ahead as one of mean service time and used the previous queue order.

The estimate now adds the expected work, at the present slowdown, of the queued requests that rank before the offered one, plus one mean service time, over the slots.

What is left of the running requests was tried and left out.

--- a/admit/leastcost_test.go
+++ b/admit/leastcost_test.go
@@ -164,3 +164,23 @@
 		assert.Assert(t, served[i]/offered[i] >= served[3]/offered[3]/4, "%s: served %v of %v", k.name, served, offered)
 	}
 }
+
+// Guards against an estimated wait that counts each request ahead as a mean one: an
+// urgent request is refused behind a few short ones, and a long queue of long ones
+// is joined in vain.
+func TestEstimateWaitKnowsWorkAhead(t *testing.T) {
+	const slots = 2
+	g, _, now := newBusySlotLimiter(slots, 9)
+	long := admit.Request{ID: id(90), Route: "long", Deadline: now.Add(time.Minute), Objective: now.Add(30 * time.Second), MayQueue: true}
+	g.Finish(id(2000), admit.Broken, now)
+	g.Offer(long, now)
+	now = now.Add(time.Second)
+	g.Finish(long.ID, admit.Done, now)
+	g.Offer(admit.Request{ID: id(91), Deadline: now.Add(time.Minute)}, now)
+	next := g.EstimateWait(ranked(1, 0, time.Second, now))
+	assert.Equal(t, g.Offer(ranked(2, 0, time.Second, now), now).Verdict, admit.Queue)
+	assert.Equal(t, g.EstimateWait(ranked(1, 0, time.Second, now))-next, g.ServiceTime("")/slots)
+	long.ID, long.Priority = id(92), 1
+	assert.Equal(t, g.Offer(long, now).Verdict, admit.Queue)
+	assert.Equal(t, g.EstimateWait(ranked(1, 1, 50*time.Second, now))-next, (g.ServiceTime("")+g.ServiceTime("long"))/slots)
+}
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -322,15 +322,33 @@
 	return initialRouteServiceTime
 }
 
-// EstimateWait estimates the time until a request that is queued now starts: a
-// slot must become free and a cold upstream must be allowed to start it.
+// EstimateWait estimates the time until a request that is queued now starts: the
+// work ahead of it must be done, a slot must become free and a cold upstream must
+// be allowed to start it.
+//
+// The next free slot is expected after a mean service time divided by the slots.
+// What is left of the running requests gave no better decisions: the time until
+// the first of them is expected to end earned as much, their mean less.
 func (g *SlotLimiter) EstimateWait(t Request) time.Duration {
 	if g.slots == 0 {
 		return g.meanServiceTime
 	}
-	ahead := g.queue.ahead(t) + 1
-	meanServiceTime := max(g.meanServiceTime, initialRouteServiceTime/2)
-	return max(meanServiceTime*time.Duration(ahead)/time.Duration(g.slots), g.coldStart.wait(ahead, g.now))
+	work, ahead := g.workAhead(t)
+	work += max(g.meanServiceTime, initialRouteServiceTime/2)
+	return max(work/time.Duration(g.slots), g.coldStart.wait(ahead+1, g.now))
+}
+
+// workAhead returns the expected work of the queued requests that would start
+// before t if it were queued now, and their number.
+func (g *SlotLimiter) workAhead(t Request) (work time.Duration, n int) {
+	rank := g.rank(queuedRequest{request: t, arrived: g.now}, g.now)
+	for _, w := range g.queue.items {
+		if !rank.Before(g.rank(w, g.now)) {
+			work += g.expectedServiceTime(w.request, g.now)
+			n++
+		}
+	}
+	return work, n
 }
 
 // Finish records the end of a running request and starts queued ones.
