admit: share the slots of a priority fairly between workspaces

Cause: a workspace that floods a service filled the queue, and the requests of all others were refused or waited behind its own.

Start-time fair queueing over the expected work (cost.FairShare): within a priority and the group that meets its objective, the slot goes to the workspace with the lowest start tag and there to its first request by rank. A full queue refuses one of the workspace with the most queued work if that is more than the arriving workspace would have. The estimated wait and the limit for requests that miss their objective count another workspace only as far as it is ahead. Requests without a workspace share as one.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/policy/cost"
 )
 
 // queuedRequest is a queued request. The sequence number keeps requests with
@@ -15,6 +16,17 @@
 	sequence uint64
 	// arrived is when the request was queued.
 	arrived time.Time
+	// flow is the share of the request's workspace, nil in a Limiter, and work the
+	// expected work with which the request joined it.
+	flow *cost.Flow
+	work time.Duration
+}
+
+// leave records that the request is no longer queued.
+func (w queuedRequest) leave() {
+	if w.flow != nil {
+		w.flow.Leave(w.work)
+	}
 }
 
 // before reports whether w runs before o: by priority, then by deadline. The
@@ -59,21 +71,12 @@
 	return n
 }
 
-// countUrgent returns the number of queued requests of the given priority and of
-// more urgent ones.
-func (q *queue) countUrgent(priority int) int {
-	n := 0
-	for i := len(q.items) - 1; i >= 0 && q.items[i].request.Priority <= priority; i-- {
-		n++
-	}
-	return n
-}
-
-func (q *queue) push(t Request) { q.pushAt(t, time.Time{}) }
+func (q *queue) push(t Request) { q.insert(queuedRequest{request: t}) }
 
-func (q *queue) pushAt(t Request, now time.Time) {
+// insert queues a request and sets its sequence number.
+func (q *queue) insert(w queuedRequest) {
 	q.sequence++
-	w := queuedRequest{request: t, sequence: q.sequence, arrived: now}
+	w.sequence = q.sequence
 	i := len(q.items)
 	q.items = append(q.items, w)
 	for ; i > 0 && q.items[i-1].before(w); i-- {
@@ -87,9 +90,7 @@
 }
 
 func (q *queue) pop() Request {
-	t := q.peek()
-	q.items = q.items[:len(q.items)-1]
-	return t
+	return q.removeAt(len(q.items) - 1)
 }
 
 // prioritySpan returns the number of queued requests with the priority of the one
@@ -106,9 +107,10 @@
 const none = -1
 
 func (q *queue) removeAt(i int) Request {
-	t := q.items[i].request
+	w := q.items[i]
+	w.leave()
 	q.items = slices.Delete(q.items, i, i+1)
-	return t
+	return w.request
 }
 
 // removeMatching removes the requests that match and passes each to onRemove.
@@ -116,6 +118,7 @@
 	var removed []Request
 	q.items = slices.DeleteFunc(q.items, func(w queuedRequest) bool {
 		if match(w.request) {
+			w.leave()
 			removed = append(removed, w.request)
 			return true
 		}
@@ -129,7 +132,7 @@
 func (q *queue) remove(id ident.Request) bool {
 	for i := range q.items {
 		if q.items[i].request.ID == id {
-			q.items = append(q.items[:i], q.items[i+1:]...)
+			q.removeAt(i)
 			return true
 		}
 	}
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -21,6 +21,7 @@
 	slots    int
 	running  map[ident.Request]runningRequest
 	queue    queue
+	share    *cost.FairShare
 	report   LoadReport
 	reportAt time.Time
 	// untracked counts requests at the upstream that this SlotLimiter doesn't
@@ -98,6 +99,7 @@
 		options:      o,
 		slots:        int(o.Slots),
 		queue:        newQueue(o.MaxQueued),
+		share:        cost.NewFairShare(maxFlows),
 		running:      map[ident.Request]runningRequest{},
 		serviceTimes: map[ident.Route]time.Duration{},
 		objectives:   map[ident.Route]time.Duration{},
@@ -191,50 +193,19 @@
 		return Decision{Reason: Full, RetryAfter: wait}
 	case left < wait+expected:
 		return Decision{Reason: Late, RetryAfter: wait}
-	case g.missesObjective(t, now, wait+expected) && g.queue.countUrgent(t.Priority) >= g.slots/objectiveQueueDivisor:
+	case g.missesObjective(t, now, wait+expected) && g.countUrgent(t) >= g.slots/objectiveQueueDivisor:
 		return Decision{Reason: Full, RetryAfter: wait}
 	}
 	if g.queueFull() {
 		g.options.Expire(g.queue.removeAt(displaced), Full, now)
 	}
-	g.queue.pushAt(t, now)
+	g.push(t, now)
 	g.startQueued(now)
 	return Decision{Verdict: Queue}
 }
 
 func (g *SlotLimiter) queueFull() bool { return g.queue.len() >= g.options.MaxQueued }
 
-// displaceable returns the index of the queued request whose refusal costs least,
-// or none if that isn't less than the refusal of t, which would wait as long as
-// stated. Queued requests are compared as if they started now, so that no request
-// displaces one of its own priority only because it arrived later. Of requests
-// that cost the same, the one is displaced that would start last.
-func (g *SlotLimiter) displaceable(t Request, now time.Time, wait time.Duration) int {
-	index, least := none, g.costOf(queuedRequest{request: t, arrived: now}, now).Refusal(now.Add(wait))
-	var last cost.Rank
-	for i, w := range g.queue.items {
-		loss, rank := g.costOf(w, now).Refusal(now), g.rank(w, now)
-		if loss.MeetsObjective && g.queue.prioritySpan(i) <= g.slots/reservedQueueDivisor {
-			continue
-		}
-		if loss.Less(least) || index != none && !least.Less(loss) && last.Before(rank) {
-			index, least, last = i, loss, rank
-		}
-	}
-	return index
-}
-
-func (g *SlotLimiter) costOf(w queuedRequest, now time.Time) cost.Request {
-	t := w.request
-	return cost.Request{
-		Priority:  t.Priority,
-		Arrived:   w.arrived,
-		Deadline:  t.Deadline,
-		Objective: t.Objective,
-		Work:      g.expectedServiceTime(t, now),
-	}
-}
-
 // hasRoom reports whether the upstream has a free slot.
 func (g *SlotLimiter) hasRoom(now time.Time) bool {
 	used := len(g.running)
@@ -254,14 +225,6 @@
 // those behind them would miss their objective, too.
 const objectiveQueueDivisor = 2
 
-// reservedQueueDivisor is the number of slots for each queue place that more
-// urgent requests don't take from a priority whose requests meet their objective.
-// Without such places, the requests of a priority are displaced before they have
-// waited long enough to move up, and the least urgent ones get almost nothing
-// while the load exceeds the slots. The number of places is that of requests that
-// miss their objective.
-const reservedQueueDivisor = objectiveQueueDivisor
-
 // missesObjective reports whether t ends after its objective if it ends after
 // the given duration. It reports true for a request without an objective, so that
 // such requests are queued last and refused first.
@@ -338,19 +301,6 @@
 	return max(work/time.Duration(g.slots), g.coldStart.wait(ahead+1, g.now))
 }
 
-// workAhead returns the expected work of the queued requests that would start
-// before t if it were queued now, and their number.
-func (g *SlotLimiter) workAhead(t Request) (work time.Duration, n int) {
-	rank := g.rank(queuedRequest{request: t, arrived: g.now}, g.now)
-	for _, w := range g.queue.items {
-		if !rank.Before(g.rank(w, g.now)) {
-			work += g.expectedServiceTime(w.request, g.now)
-			n++
-		}
-	}
-	return work, n
-}
-
 // Finish records the end of a running request and starts queued ones.
 func (g *SlotLimiter) Finish(id ident.Request, r Result, now time.Time) {
 	g.now = now
@@ -404,32 +354,12 @@
 		if g.queue.len() == 0 || !g.coldStart.take(now) {
 			return
 		}
-		t := g.queue.removeAt(g.first(now))
+		t := g.takeNext(now)
 		g.markRunning(t, now)
 		g.options.Start(t, now)
 	}
 }
 
-// first returns the index of the queued request that starts next.
-func (g *SlotLimiter) first(now time.Time) int {
-	index, best := none, cost.Rank{}
-	for i, w := range g.queue.items {
-		rank := g.rank(w, now)
-		if index == none || rank.Before(best) || !best.Before(rank) && w.sequence < g.queue.items[index].sequence {
-			index, best = i, rank
-		}
-	}
-	return index
-}
-
-func (g *SlotLimiter) rank(w queuedRequest, now time.Time) cost.Rank {
-	serviceTime := g.meanServiceTime
-	if serviceTime == 0 {
-		serviceTime = initialRouteServiceTime
-	}
-	return g.costOf(w, now).Rank(now, serviceTime)
-}
-
 // expireLate expires queued requests that can't end by their deadline any more.
 func (g *SlotLimiter) expireLate(now time.Time) {
 	g.queue.removeMatching(func(t Request) bool {
--- a/internal/policy/cost/cost_test.go
+++ b/internal/policy/cost/cost_test.go
@@ -1,11 +1,13 @@
 package cost_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/policy/cost"
 )
 
@@ -72,3 +74,48 @@
 	}
 	assert.Assert(t, order[1].Rank(start, serviceTime) == order[2].Rank(start, serviceTime), "moved up by exactly one priority")
 }
+
+// Guards against a workspace that gets more than an equal share of the work while
+// another one waits, against credit for idle time, and against a request without a
+// workspace that is treated as one of its own.
+func TestFairShare(t *testing.T) {
+	const work = 10 * time.Millisecond
+	s := cost.NewFairShare(3)
+	a, b := s.Join(1, "a", work), s.Join(1, "b", 4*work)
+	assert.Assert(t, a.Tag() == b.Tag())
+	a.Start(work)
+	assert.Assert(t, a.Tag() > b.Tag())
+	b.Start(4 * work)
+	for range 3 {
+		assert.Assert(t, a.Tag() < b.Tag())
+		a.Start(work)
+	}
+	assert.Equal(t, a.Tag(), b.Tag())
+	assert.Equal(t, s.Join(1, "", work), s.Join(1, "", work))
+	idle, _, _ := s.Peek(1, "later")
+	assert.Equal(t, idle, a.Tag()-work, "starts at the tag of the latest start")
+	other, _, _ := s.Peek(0, "a")
+	assert.Equal(t, other, time.Duration(0), "priorities don't affect each other")
+}
+
+// Guards against a state that grows with the number of workspaces, and against a
+// dropped flow that still has requests queued.
+func TestFairShareIsBounded(t *testing.T) {
+	const limit = 100
+	s := cost.NewFairShare(limit)
+	queued := s.Join(0, "queued", time.Second)
+	for n := range 10_000 {
+		f := s.Join(0, ident.Workspace(strconv.Itoa(n)), time.Second)
+		f.Start(time.Second)
+		f.Leave(time.Second)
+		assert.Assert(t, s.Len() <= limit)
+	}
+	assert.Equal(t, s.Join(0, "queued", time.Second), queued)
+	for n := range 10_000 {
+		s.Join(n%2, ident.Workspace(strconv.Itoa(n)), time.Second)
+		assert.Assert(t, s.Len() <= limit+2)
+	}
+	assert.Equal(t, s.Join(0, "new", time.Second), s.Join(0, "", time.Second), "further workspaces share a flow")
+	s.Reset()
+	assert.Equal(t, s.Len(), 0)
+}
