admit: no lower bound on the estimated wait of short requests

Cause: EstimateWait took 25 ms for the next free slot if requests are shorter. With an objective of 10 ms and requests of 5 ms on two slots, every request that found no free slot was refused as late, urgent ones like others.

The learned mean counts as it is; 50 ms are assumed until the first answer. TestEstimateWaitOfShortRequests fails without the change. The table of TestValueOnDemandingLoads is unchanged: its mean service times are longer.

--- a/admit/leastcost_test.go
+++ b/admit/leastcost_test.go
@@ -184,3 +184,11 @@
 	assert.Equal(t, g.Offer(long, now).Verdict, admit.Queue)
 	assert.Equal(t, g.EstimateWait(ranked(1, 1, 50*time.Second, now))-next, (g.ServiceTime("")+g.ServiceTime("long"))/slots)
 }
+
+// Guards against a lower bound on the estimated wait for a service with short
+// requests, whose objectives then seem out of reach as soon as one of them queues.
+func TestEstimateWaitOfShortRequests(t *testing.T) {
+	g := admit.NewSlotLimiter(admit.SlotLimiterOptions{Slots: 2})
+	now := trainSlotLimiter(g, 4*time.Millisecond)
+	assert.Equal(t, g.EstimateWait(ranked(1, 0, time.Second, now)), 2*time.Millisecond)
+}
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -297,7 +297,11 @@
 		return g.meanServiceTime
 	}
 	work, ahead := g.workAhead(t)
-	work += max(g.meanServiceTime, initialRouteServiceTime/2)
+	next := g.meanServiceTime
+	if next == 0 {
+		next = initialRouteServiceTime
+	}
+	work += next
 	return max(work/time.Duration(g.slots), g.coldStart.wait(ahead+1, g.now))
 }
 
