--- a/admit/queue.go
+++ b/admit/queue.go
@@ -1,9 +1,12 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/policy/cost"
 )
 
 // queuedRequest is a queued request. The sequence number keeps requests with
@@ -11,6 +14,19 @@
 type queuedRequest struct {
 	request  Request
 	sequence uint64
+	// arrived is when the request was queued.
+	arrived time.Time
+	// flow is the share of the request's workspace, nil in a Limiter, and work the
+	// expected work with which the request joined it.
+	flow *cost.Flow
+	work time.Duration
+}
+
+// leave records that the request is no longer queued.
+func (w queuedRequest) leave() {
+	if w.flow != nil {
+		w.flow.Leave(w.work)
+	}
 }
 
 // before reports whether w runs before o: by priority, then by deadline. The
@@ -25,7 +41,8 @@
 	return w.request.Deadline.Before(o.request.Deadline)
 }
 
-// queue holds requests in running order, the next one at the end of the slice.
+// queue holds requests by priority and deadline, the next one at the end of the
+// slice. A Limiter runs them in this order; a SlotLimiter chooses by rank.
 // The capacity is small, so a sorted slice is faster than a heap and yields
 // the position of a request at no extra cost. The slice grows with the requests:
 // the capacity follows from the slots that an upstream announces.
@@ -54,9 +71,12 @@
 	return n
 }
 
-func (q *queue) push(t Request) {
+func (q *queue) push(t Request) { q.insert(queuedRequest{request: t}) }
+
+// insert queues a request and sets its sequence number.
+func (q *queue) insert(w queuedRequest) {
 	q.sequence++
-	w := queuedRequest{request: t, sequence: q.sequence}
+	w.sequence = q.sequence
 	i := len(q.items)
 	q.items = append(q.items, w)
 	for ; i > 0 && q.items[i-1].before(w); i-- {
@@ -70,21 +90,27 @@
 }
 
 func (q *queue) pop() Request {
-	t := q.peek()
-	q.items = q.items[:len(q.items)-1]
-	return t
+	return q.removeAt(len(q.items) - 1)
 }
 
-// popPreferred removes and returns the first preferred request, or the first
-// request if none is preferred.
-func (q *queue) popPreferred(preferred func(Request) bool) Request {
-	for i := len(q.items) - 1; i >= 0; i-- {
-		if t := q.items[i].request; preferred(t) {
-			q.items = slices.Delete(q.items, i, i+1)
-			return t
-		}
-	}
-	return q.pop()
+// prioritySpan returns the number of queued requests with the priority of the one
+// at index i.
+func (q *queue) prioritySpan(i int) int {
+	priority := q.items[i].request.Priority
+	compare := func(w queuedRequest, p int) int { return cmp.Compare(p, w.request.Priority) }
+	first, _ := slices.BinarySearchFunc(q.items, priority, compare)
+	end, _ := slices.BinarySearchFunc(q.items, priority-1, compare)
+	return end - first
+}
+
+// none is the index of no request.
+const none = -1
+
+func (q *queue) removeAt(i int) Request {
+	w := q.items[i]
+	w.leave()
+	q.items = slices.Delete(q.items, i, i+1)
+	return w.request
 }
 
 // removeMatching removes the requests that match and passes each to onRemove.
@@ -92,6 +118,7 @@
 	var removed []Request
 	q.items = slices.DeleteFunc(q.items, func(w queuedRequest) bool {
 		if match(w.request) {
+			w.leave()
 			removed = append(removed, w.request)
 			return true
 		}
@@ -105,7 +132,7 @@
 func (q *queue) remove(id ident.Request) bool {
 	for i := range q.items {
 		if q.items[i].request.ID == id {
-			q.items = append(q.items[:i], q.items[i+1:]...)
+			q.removeAt(i)
 			return true
 		}
 	}
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/policy/cost"
 )
 
 // SlotLimiter admits requests to an upstream that reports its own load: the
@@ -20,6 +21,7 @@
 	slots    int
 	running  map[ident.Request]runningRequest
 	queue    queue
+	share    *cost.FairShare
 	report   LoadReport
 	reportAt time.Time
 	// untracked counts requests at the upstream that this SlotLimiter doesn't
@@ -67,7 +69,8 @@
 	// MaxQueued is the queue capacity; 0 means slotLimiterQueuedPerSlot for
 	// each slot.
 	MaxQueued int
-	// Start and Expire are as in Options.
+	// Start and Expire are as in Options. During a call of Expire with reason
+	// Full, EstimateWait returns the time after which the request may be retried.
 	Start  func(Request, time.Time)
 	Expire func(Request, Reason, time.Time)
 }
@@ -96,6 +99,7 @@
 		options:      o,
 		slots:        int(o.Slots),
 		queue:        newQueue(o.MaxQueued),
+		share:        cost.NewFairShare(maxFlows),
 		running:      map[ident.Request]runningRequest{},
 		serviceTimes: map[ident.Route]time.Duration{},
 		objectives:   map[ident.Route]time.Duration{},
@@ -157,7 +161,9 @@
 // Offer decides about a request. A request that isn't expected to end by its
 // deadline is refused, because it would occupy a slot without producing a
 // usable answer. A request that may still be retried on another member is
-// refused while the upstream is slow, unless it meets its objective anyway.
+// refused while the upstream is slow, unless it meets its objective anyway. If the
+// queue is full, the request whose refusal costs least is refused: the offered
+// one, or a queued one, which is then expired with reason Full.
 func (g *SlotLimiter) Offer(t Request, now time.Time) Decision {
 	g.now = now
 	g.recordObjective(t, now)
@@ -178,19 +184,28 @@
 		return Decision{Verdict: Run}
 	}
 	wait := g.EstimateWait(t)
+	displaced := none
+	if t.MayQueue && g.queueFull() {
+		displaced = g.displaceable(t, now, wait)
+	}
 	switch {
-	case !t.MayQueue || g.queue.len() >= g.options.MaxQueued:
+	case !t.MayQueue || g.queueFull() && displaced == none:
 		return Decision{Reason: Full, RetryAfter: wait}
 	case left < wait+expected:
 		return Decision{Reason: Late, RetryAfter: wait}
-	case g.missesObjective(t, now, wait+expected) && g.queue.len() >= g.slots/objectiveQueueDivisor:
+	case g.missesObjective(t, now, wait+expected) && g.countUrgent(t) >= g.slots/objectiveQueueDivisor:
 		return Decision{Reason: Full, RetryAfter: wait}
 	}
-	g.queue.push(t)
+	if g.queueFull() {
+		g.options.Expire(g.queue.removeAt(displaced), Full, now)
+	}
+	g.push(t, now)
 	g.startQueued(now)
 	return Decision{Verdict: Queue}
 }
 
+func (g *SlotLimiter) queueFull() bool { return g.queue.len() >= g.options.MaxQueued }
+
 // hasRoom reports whether the upstream has a free slot.
 func (g *SlotLimiter) hasRoom(now time.Time) bool {
 	used := len(g.running)
@@ -205,9 +220,9 @@
 const untrackedTTL = 200 * time.Millisecond
 
 // objectiveQueueDivisor limits queued requests that miss their objective: they
-// are admitted while the queue is shorter than the slots divided by it. Their
-// answers have little value left, and those behind them would miss their
-// objective, too.
+// are admitted while fewer requests of the same or a more urgent priority are
+// queued than the slots divided by it. Their answers have little value left, and
+// those behind them would miss their objective, too.
 const objectiveQueueDivisor = 2
 
 // missesObjective reports whether t ends after its objective if it ends after
@@ -270,15 +285,24 @@
 	return initialRouteServiceTime
 }
 
-// EstimateWait estimates the time until a request that is queued now starts: a
-// slot must become free and a cold upstream must be allowed to start it.
+// EstimateWait estimates the time until a request that is queued now starts: the
+// work ahead of it must be done, a slot must become free and a cold upstream must
+// be allowed to start it.
+//
+// The next free slot is expected after a mean service time divided by the slots.
+// What is left of the running requests gave no better decisions: the time until
+// the first of them is expected to end earned as much, their mean less.
 func (g *SlotLimiter) EstimateWait(t Request) time.Duration {
 	if g.slots == 0 {
 		return g.meanServiceTime
 	}
-	ahead := g.queue.ahead(t) + 1
-	meanServiceTime := max(g.meanServiceTime, initialRouteServiceTime/2)
-	return max(meanServiceTime*time.Duration(ahead)/time.Duration(g.slots), g.coldStart.wait(ahead, g.now))
+	work, ahead := g.workAhead(t)
+	next := g.meanServiceTime
+	if next == 0 {
+		next = initialRouteServiceTime
+	}
+	work += next
+	return max(work/time.Duration(g.slots), g.coldStart.wait(ahead+1, g.now))
 }
 
 // Finish records the end of a running request and starts queued ones.
@@ -325,17 +349,16 @@
 	g.expireLate(now)
 }
 
-// startQueued starts queued requests while there is a free slot: first those
-// that meet their objective, then the others, each by priority and deadline. It
-// stops when a cold upstream may start no more requests now, and expires queued
-// requests that can't end by their deadline any more.
+// startQueued starts queued requests by rank (see cost.Request.Rank) while there is
+// a free slot. It stops when a cold upstream may start no more requests now, and
+// expires queued requests that can't end by their deadline any more.
 func (g *SlotLimiter) startQueued(now time.Time) {
 	for g.queue.len() > 0 && g.hasRoom(now) && !g.draining {
 		g.expireLate(now)
 		if g.queue.len() == 0 || !g.coldStart.take(now) {
 			return
 		}
-		t := g.queue.popPreferred(func(t Request) bool { return !g.missesObjective(t, now, g.expectedServiceTime(t, now)) })
+		t := g.takeNext(now)
 		g.markRunning(t, now)
 		g.options.Start(t, now)
 	}
