spec, store: settings of the usage report; the store's clock and versions

Cause: the usage report (docs/demand.md 2.2) needs the platform's address, bounds and list of duties, and a clock that all nodes share.

Change: optional block cloud in the settings, part usage-report, on only if the address and the duty are both present. store.Result carries the store's clock (now_ms) and the version written by a commit.

--- a/internal/spec/sidecar.go
+++ b/internal/spec/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cicadahall/cicadahall/ident"
@@ -26,6 +27,7 @@
 	Cold       *SidecarCold     `json:"cold" spec:"optional" doc:"Limit of requests to a cold upstream; without it a cold upstream is treated as a warm one."`
 	Evacuation *time.Duration   `json:"evacuation" spec:"optional,min=0s,max=10m" doc:"Time within which an evacuated failure domain gets no more requests; without it orders to evacuate are refused."`
 	Probes     *float64         `json:"probes" spec:"optional,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second; without it there are none."`
+	Cloud      *SidecarCloud    `json:"cloud" spec:"optional" doc:"The platform's service for calls that one node makes on behalf of all; without it there are none."`
 	Memory     Megabytes        `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
 	Log        Level            `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
 }
@@ -68,6 +70,26 @@
 	Slack   float64 `json:"slack" spec:"default=5,min=0,max=1000" doc:"Requests allowed beyond that rate."`
 }
 
+// SidecarCloud holds the duties of one node at a time: calls to the platform that
+// the nodes of a system make as one.
+type SidecarCloud struct {
+	Address string        `json:"address" spec:"form=address" doc:"Host and port that the calls go to."`
+	Duties  []string      `json:"duties" spec:"optional,max=64" doc:"Names of the calls that the platform expects; names that this release doesn't know are ignored."`
+	Rate    float64       `json:"rate" spec:"default=50,min=0.1,max=100000" doc:"Calls per second that the platform accepts from all nodes together."`
+	Lease   time.Duration `json:"lease" spec:"default=3s,min=100ms,max=10m" doc:"Time after which another node takes over from one that no longer answers."`
+	Window  time.Duration `json:"window" spec:"default=5s,min=100ms,max=24h" doc:"Length of a window of the usage report."`
+	Late    time.Duration `json:"late" spec:"default=10s,min=100ms,max=24h" doc:"Time after the end of a window at which its usage report is due."`
+}
+
+// UsageReportDuty is the name in SidecarCloud.Duties that switches on the usage
+// report.
+const UsageReportDuty = "usage_report"
+
+// Has reports whether a duty is listed. A nil SidecarCloud has none.
+func (c *SidecarCloud) Has(duty string) bool {
+	return c != nil && slices.Contains(c.Duties, duty)
+}
+
 // AdvertisedAddress returns the address at which other nodes reach this node.
 func (l SidecarListen) AdvertisedAddress() string { return cmp.Or(l.Public, l.Peers) }
 
@@ -81,6 +103,7 @@
 	ColdLimit    Part = "cold-limit"
 	Evacuation   Part = "evacuation"
 	HealthChecks Part = "health-checks"
+	UsageReport  Part = "usage-report"
 )
 
 // Parts returns the parts that the settings switch on and those that stay off.
@@ -94,6 +117,7 @@
 		{ColdLimit, s.Cold != nil},
 		{Evacuation, s.Evacuation != nil},
 		{HealthChecks, s.Probes != nil && *s.Probes > 0},
+		{UsageReport, s.Cloud.Has(UsageReportDuty)},
 	} {
 		if p.on {
 			on = append(on, p.part)
--- a/store/store.go
+++ b/store/store.go
@@ -40,6 +40,13 @@
 	// Compacted is set on a Refused read of a feed if the store no longer has
 	// the history after the requested version.
 	Compacted bool
+	// NowMillis is the store's clock when it answered, in milliseconds since an
+	// unspecified moment; 0 if the answer doesn't tell. The clock is the same for
+	// all clients and never steps.
+	NowMillis int64
+	// Version is the version of the rows written by a commit that is Done; 0 if
+	// the answer doesn't tell.
+	Version uint64
 }
 
 // OK reports whether the call took effect.
