fleet, platform: send the usage report from one node at a time

Change: each exit counts the requests with a workspace that it sends to its upstream and sends changed counts to the holder about once a second; the holder stores a window's counts under the lease and then sends the stored bytes with its name and token. A node that stops releases the lease and gives all counts to the next candidate. Off unless the settings list the duty.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -25,6 +25,7 @@
 	Digest   Name = "digest"
 	Disabled Name = "disabled"
 	Domain   Name = "domain"
+	Duty     Name = "duty"
 	Elapsed  Name = "elapsed"
 	Enabled  Name = "enabled"
 	Error    Name = "error"
@@ -39,6 +40,7 @@
 	Failed   Name = "failed"
 	Limit    Name = "limit"
 	Move     Name = "move"
+	Offset   Name = "offset"
 	Outcome  Name = "outcome"
 	Path     Name = "path"
 	Peer     Name = "peer"
@@ -51,8 +53,10 @@
 	Slots    Name = "slots"
 	Status   Name = "status"
 	Store    Name = "store"
+	Token    Name = "token"
 	Total    Name = "total"
 	Version  Name = "version"
+	Window   Name = "window"
 )
 
 // Kind is the catalogue entry of one event code.
@@ -126,6 +130,15 @@
 	{ReportStored, "report-kept", LevelDebug, []Name{Peer, Count, Bytes}, "This node stores the work counters of a peer. Count is the sequence number."},
 	{ProbeSent, "probe-sent", LevelDebug, []Name{Address, Path, Status, Elapsed}, "The exit has sent a health check to its upstream."},
 	{ProbeFailed, "probe-failed", LevelWarn, []Name{Address, Path, Status, Error}, "A health check of the upstream has failed."},
+	{DutyAcquired, "duty-acquired", LevelInfo, []Name{Duty, Token}, "This node has acquired the lease of a duty. Token is the fencing token."},
+	{DutyLost, "duty-lost", LevelInfo, []Name{Duty, Token}, "This node no longer performs a duty: it stops, another node has taken over, or the lease couldn't be renewed."},
+	{DutyStoreFailed, "duty-store-failed", LevelWarn, []Name{Duty, Error}, "A store call for a duty has failed. It is repeated."},
+	{ClockAgreed, "clock-agreed", LevelInfo, []Name{Offset, Count}, "The holder of the usage report has stored the difference of true time to the store's clock. Count is the number of nodes whose median it is."},
+	{UsageDecided, "usage-decided", LevelDebug, []Name{Window, Count, Total}, "The counts of a window are stored and final. Count is the number of workspaces, total that of requests."},
+	{UsageAccepted, "usage-accepted", LevelDebug, []Name{Window, Token, Elapsed}, "The platform has accepted the usage report of a window. Elapsed is the time since the end of the window."},
+	{UsageFailed, "usage-failed", LevelWarn, []Name{Window, Token, Status, Error}, "A call with a usage report failed and is repeated. Status 0 means no answer."},
+	{UsageRefused, "usage-refused", LevelError, []Name{Window, Token, Status}, "The platform has refused a usage report for good; it isn't sent again."},
+	{UsageDropped, "usage-dropped", LevelError, []Name{Window, Count}, "The oldest decided usage reports were given up, because too many wait for the platform. Count is their number."},
 }
 
 // Kinds returns the catalogue entries in ascending order of their codes.
@@ -147,7 +160,7 @@
 // blockSize.
 var blocks = [...]string{
 	"Node", "Supervisor", "Membership", "Upstream and admission", "Requests", "Configuration",
-	"Platform", "Failure domains", "Version moves", "Work reports", "Measuring",
+	"Platform", "Failure domains", "Version moves", "Work reports", "Measuring", "Duties",
 }
 
 const catalogueHeader = `# Events
--- a/event/code.go
+++ b/event/code.go
@@ -109,6 +109,19 @@
 	ProbeFailed
 )
 
+// Duties: 1200 to 1299.
+const (
+	DutyAcquired Code = 1200 + iota
+	DutyLost
+	DutyStoreFailed
+	ClockAgreed
+	UsageDecided
+	UsageAccepted
+	UsageFailed
+	UsageRefused
+	UsageDropped
+)
+
 // Level is the severity of an event.
 type Level int
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,7 @@
 // starts of the upstream.
 //
 // Locks are acquired in this order: gossip transport, exit, operatorState,
-// rollouts, membership, watcher, entry, quota.
+// rollouts, membership, watcher, entry, usageReport, quota.
 package fleet
 
 import (
@@ -81,6 +81,7 @@
 	operator   *operatorState
 	watcher    *watcher
 	rollouts   *rollouts
+	usage      *usageReport
 	upstream   *upstream
 	frontend   *frontend
 	ports      []*port
@@ -114,7 +115,8 @@
 	n.logQueue = event.NewQueue(o.Log, n.reportDroppedLines)
 	level, _ := event.ParseLevel(string(o.Settings.Log))
 	n.log = event.New(event.Options{Node: o.Settings.Node, Start: n.start, Level: level, Output: event.Output(n.logQueue), RingSize: eventBufferSize})
-	n.store = platform.NewStore(o.Settings.Store.Address, platform.StoreOptions{CountCall: n.countStoreCall, OnUnreadable: n.rejectRow})
+	n.store = platform.NewStore(o.Settings.Store.Address, platform.StoreOptions{CountCall: n.countStoreCall, OnUnreadable: n.rejectRow, OnClock: n.observeStoreClock})
+	n.usage = newUsageReport(n)
 	n.quota = n.newQuota()
 	n.rollouts = newRollouts(n)
 	n.watcher = newWatcher(n)
@@ -176,6 +178,7 @@
 		DomainAdmits:     func(time.Time) bool { return !n.operator.isEvacuated(n.settings.Domain) },
 		VersionServes:    n.rollouts.admits,
 		Emit:             n.log.Emit,
+		OnRequestStart:   n.usage.count,
 		OnRequestEnd:     n.recordRun,
 		OnUpstreamChange: n.membership.requestRefresh,
 	})
@@ -277,6 +280,9 @@
 		{Name: "upstream", Run: n.upstream.Run},
 		{Name: "settings", Run: func(ctx context.Context, ready func()) error { return n.watchSettings(ctx, ready, reload) }},
 	}
+	if n.usage != nil {
+		children = append(children, super.Child{Name: "usage", Run: n.usage.Run})
+	}
 	for _, p := range n.ports {
 		children = append(children, super.Child{Name: p.name, Run: p.Run})
 	}
@@ -317,6 +323,7 @@
 		n.log.Emit(event.NodeDraining, event.NewField(event.Reason, reason), event.NewField(event.Count, n.frontend.inProgress()))
 		n.draining.Store(true)
 		n.membership.announceLeave()
+		n.usage.handOver()
 		timeout := n.settings.Grace - killMargin
 		time.Sleep(min(drainDelay, timeout/2))
 		n.stopping.Store(true)
@@ -330,6 +337,7 @@
 			defer cancel()
 			n.awaitRequests(ctx)
 		}
+		n.usage.flush()
 	})
 }
 
@@ -352,6 +360,7 @@
 	aborted := n.frontend.inProgress()
 	err := s.Close()
 	n.exit.Close()
+	n.usage.close()
 	n.pool.Close()
 	n.quota.Close()
 	n.abort()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -31,6 +31,8 @@
 	nextID atomic.Int64
 	// domains is the number of failure domains that the nodes are spread over.
 	domains int
+	// cloud is in the settings of the nodes; nil leaves it out.
+	cloud *spec.SidecarCloud
 }
 
 type testNode struct {
@@ -99,7 +101,7 @@
 		Heartbeat: time.Second, Grace: 3 * time.Second,
 		Budget:   &spec.SidecarBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Exposure: &spec.SidecarExposure{Share: 0.1, Slack: 50}, Cold: &spec.SidecarCold{Overage: 1.5, Slack: 5},
-		Evacuation: new(5 * time.Second), Probes: new(60.0), Memory: 128, Log: spec.Info,
+		Evacuation: new(5 * time.Second), Probes: new(60.0), Cloud: c.cloud, Memory: 128, Log: spec.Info,
 	}}
 	c.start(n)
 	c.announce(n)
--- a/internal/wirepb/wire.connect.go
+++ b/internal/wirepb/wire.connect.go
@@ -49,6 +49,8 @@
 	PeerHeldProcedure = "/wirepb.Peer/Held"
 	// PeerEventsProcedure is the fully-qualified name of the Peer's Events RPC.
 	PeerEventsProcedure = "/wirepb.Peer/Events"
+	// PeerUsageProcedure is the fully-qualified name of the Peer's Usage RPC.
+	PeerUsageProcedure = "/wirepb.Peer/Usage"
 	// PeerStatusProcedure is the fully-qualified name of the Peer's Status RPC.
 	PeerStatusProcedure = "/wirepb.Peer/Status"
 )
@@ -72,6 +74,9 @@
 	Held(context.Context, *HeldRequest) (*HeldResponse, error)
 	// Events lists the recorded events of one node.
 	Events(context.Context, *EventsRequest) (*EventsResponse, error)
+	// Usage sends counts of requests by workspace to the holder of the usage
+	// report.
+	Usage(context.Context, *UsageRequest) (*UsageResponse, error)
 	// Status tells what one node knows of the whole system.
 	Status(context.Context, *StatusRequest) (*StatusResponse, error)
 }
@@ -135,6 +140,12 @@
 			connect.WithSchema(peerMethods.ByName("Events")),
 			connect.WithClientOptions(opts...),
 		),
+		usage: connect.NewClient[UsageRequest, UsageResponse](
+			httpClient,
+			baseURL+PeerUsageProcedure,
+			connect.WithSchema(peerMethods.ByName("Usage")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[StatusRequest, StatusResponse](
 			httpClient,
 			baseURL+PeerStatusProcedure,
@@ -154,6 +165,7 @@
 	keep    *connect.Client[KeepRequest, KeepResponse]
 	held    *connect.Client[HeldRequest, HeldResponse]
 	events  *connect.Client[EventsRequest, EventsResponse]
+	usage   *connect.Client[UsageRequest, UsageResponse]
 	status  *connect.Client[StatusRequest, StatusResponse]
 }
 
@@ -229,6 +241,15 @@
 	return nil, err
 }
 
+// Usage calls wirepb.Peer.Usage.
+func (c *peerClient) Usage(ctx context.Context, req *UsageRequest) (*UsageResponse, error) {
+	response, err := c.usage.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Status calls wirepb.Peer.Status.
 func (c *peerClient) Status(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
 	response, err := c.status.CallUnary(ctx, connect.NewRequest(req))
@@ -257,6 +278,9 @@
 	Held(context.Context, *HeldRequest) (*HeldResponse, error)
 	// Events lists the recorded events of one node.
 	Events(context.Context, *EventsRequest) (*EventsResponse, error)
+	// Usage sends counts of requests by workspace to the holder of the usage
+	// report.
+	Usage(context.Context, *UsageRequest) (*UsageResponse, error)
 	// Status tells what one node knows of the whole system.
 	Status(context.Context, *StatusRequest) (*StatusResponse, error)
 }
@@ -316,6 +340,12 @@
 		connect.WithSchema(peerMethods.ByName("Events")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerUsageHandler := connect.NewUnaryHandlerSimple(
+		PeerUsageProcedure,
+		svc.Usage,
+		connect.WithSchema(peerMethods.ByName("Usage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerStatusHandler := connect.NewUnaryHandlerSimple(
 		PeerStatusProcedure,
 		svc.Status,
@@ -340,6 +370,8 @@
 			peerHeldHandler.ServeHTTP(w, r)
 		case PeerEventsProcedure:
 			peerEventsHandler.ServeHTTP(w, r)
+		case PeerUsageProcedure:
+			peerUsageHandler.ServeHTTP(w, r)
 		case PeerStatusProcedure:
 			peerStatusHandler.ServeHTTP(w, r)
 		default:
@@ -383,6 +415,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wirepb.Peer.Events is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Usage(context.Context, *UsageRequest) (*UsageResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wirepb.Peer.Usage is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Status(context.Context, *StatusRequest) (*StatusResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wirepb.Peer.Status is not implemented"))
 }
