--- a/internal/control/duty/runner.go
+++ b/internal/control/duty/runner.go
@@ -69,8 +69,9 @@
 	duty    Duty
 	wake    chan struct{}
 
-	// calls serializes the calls of the store. It is acquired before mu.
-	calls sync.Mutex
+	// calls serializes the calls of the store: it holds a value during a call. It
+	// is acquired before mu.
+	calls chan struct{}
 	mu    sync.Mutex
 	lease *Lease
 	// current is the running function of the duty, or nil.
@@ -82,7 +83,7 @@
 
 // NewRunner returns a Runner.
 func NewRunner(d Duty, o RunnerOptions) *Runner {
-	return &Runner{options: o, duty: d, wake: make(chan struct{}, 1), lease: New(Options{
+	return &Runner{options: o, duty: d, wake: make(chan struct{}, 1), calls: make(chan struct{}, 1), lease: New(Options{
 		Node: o.Node, Start: o.Start, Key: RowPrefix + d.Name, Length: o.Length,
 		Stagger:   o.Length / staggerDivisor,
 		FirstCall: o.Now().Add(o.Length / firstCallDivisor),
@@ -154,8 +155,8 @@
 // step performs the next call, if one is due, and returns when to look again.
 func (r *Runner) step(ctx context.Context) time.Time {
 	rank := r.options.Rank()
-	r.calls.Lock()
-	defer r.calls.Unlock()
+	r.calls <- struct{}{}
+	defer func() { <-r.calls }()
 	r.mu.Lock()
 	now := r.options.Now()
 	action := r.lease.Next(rank, now)
@@ -225,8 +226,8 @@
 // effect while this node holds the lease, or none. It returns the version of the
 // rows, or 0 if the answer with the version was lost.
 func (r *Runner) Commit(ctx context.Context, writes ...store.Write) (uint64, error) {
-	r.calls.Lock()
-	defer r.calls.Unlock()
+	r.calls <- struct{}{}
+	defer func() { <-r.calls }()
 	if _, _, ok := r.Valid(); !ok {
 		return 0, ErrNotHeld
 	}
@@ -301,8 +302,8 @@
 	r.mu.Unlock()
 	// A call with this token must not follow one of the next holder.
 	r.endTask()
-	r.calls.Lock()
-	defer r.calls.Unlock()
+	r.calls <- struct{}{}
+	defer func() { <-r.calls }()
 	prepare := func() (store.Write, bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
