--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,7 @@
 // starts of the upstream.
 //
 // Locks are acquired in this order: gossip transport, exit, operatorState,
-// rollouts, membership, watcher, entry, quota.
+// rollouts, membership, watcher, entry, usageReport, quota.
 package fleet
 
 import (
@@ -81,6 +81,7 @@
 	operator   *operatorState
 	watcher    *watcher
 	rollouts   *rollouts
+	usage      *usageReport
 	upstream   *upstream
 	frontend   *frontend
 	calls      *callDetector
@@ -116,7 +117,8 @@
 	n.logQueue = event.NewQueue(o.Log, n.reportDroppedLines)
 	level, _ := event.ParseLevel(string(o.Settings.Log))
 	n.log = event.New(event.Options{Node: o.Settings.Node, Start: n.start, Level: level, Output: event.Output(n.logQueue), RingSize: eventBufferSize})
-	n.store = platform.NewStore(o.Settings.Store.Address, platform.StoreOptions{CountCall: n.countStoreCall, OnUnreadable: n.rejectRow})
+	n.store = platform.NewStore(o.Settings.Store.Address, platform.StoreOptions{CountCall: n.countStoreCall, OnUnreadable: n.rejectRow, OnClock: n.observeStoreClock})
+	n.usage = newUsageReport(n)
 	n.quota = n.newQuota()
 	n.rollouts = newRollouts(n)
 	n.watcher = newWatcher(n)
@@ -244,7 +246,8 @@
 	return 1
 }
 
-func (n *Node) recordStart(exit.RequestStart) {
+func (n *Node) recordStart(s exit.RequestStart) {
+	n.usage.count(s)
 	n.calls.recordStart()
 }
 
@@ -287,6 +290,9 @@
 		{Name: "upstream", Run: n.upstream.Run},
 		{Name: "settings", Run: func(ctx context.Context, ready func()) error { return n.watchSettings(ctx, ready, reload) }},
 	}
+	if n.usage != nil {
+		children = append(children, super.Child{Name: "usage", Run: n.usage.Run})
+	}
 	for _, p := range n.ports {
 		children = append(children, super.Child{Name: p.name, Run: p.Run})
 	}
@@ -327,6 +333,7 @@
 		n.log.Emit(event.NodeDraining, event.NewField(event.Reason, reason), event.NewField(event.Count, n.frontend.inProgress()))
 		n.draining.Store(true)
 		n.membership.announceLeave()
+		n.usage.handOver()
 		timeout := n.settings.Grace - killMargin
 		time.Sleep(min(drainDelay, timeout/2))
 		n.stopping.Store(true)
@@ -340,6 +347,7 @@
 			defer cancel()
 			n.awaitRequests(ctx)
 		}
+		n.usage.flush()
 	})
 }
 
@@ -362,6 +370,7 @@
 	aborted := n.frontend.inProgress()
 	err := s.Close()
 	n.exit.Close()
+	n.usage.close()
 	n.pool.Close()
 	n.quota.Close()
 	n.abort()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -34,6 +34,8 @@
 	// pipelined is the number of requests of one connection that run at the same
 	// time.
 	pipelined int
+	// cloud is in the settings of the nodes; nil leaves it out.
+	cloud *spec.SidecarCloud
 }
 
 type testNode struct {
@@ -110,7 +112,7 @@
 		Heartbeat: time.Second, Grace: 3 * time.Second,
 		Budget:   &spec.SidecarBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Exposure: &spec.SidecarExposure{Share: 0.1, Slack: 50}, Cold: &spec.SidecarCold{Overage: 1.5, Slack: 5},
-		Evacuation: new(5 * time.Second), Probes: new(60.0), Memory: 128, Pipelined: c.pipelined, Log: spec.Info,
+		Evacuation: new(5 * time.Second), Probes: new(60.0), Cloud: c.cloud, Memory: 128, Pipelined: c.pipelined, Log: spec.Info,
 	}}
 	c.start(n)
 	c.announce(n)
