--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process. It returns nil if the process has
 // exited.
 func (p *Process) Signal(sig syscall.Signal) error {
