accept, intake: one account for the connections of callers

Connections, heads and descriptors of callers had no bound: net/http parses a head while it arrives, and a head of short fields costs many times its bytes.

Package intake decides which connection is closed when the account is full: incomplete ones, the slowest first, then idle ones, never one with a running request. Package accept charges each connection the most that it can cost, holds a head back until it is complete and within max_header_bytes of the configuration (431 otherwise), bounds empty lines, and ends bodies below 320 bytes in 10 s. The time-outs header_timeout_ms and idle_timeout_ms take effect. The optional setting descriptors bounds the connections of each listener. The lingering of closed connections moved from internal/fleet unchanged.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -105,6 +105,7 @@
 	{RequestFailed, "request-failed", LevelInfo, []Name{Request, Fence, Route, Service, Outcome, Reason, Status, Deadline, Elapsed}, "A caller received a failure. Fields as in request-served."},
 	{AttemptEnded, "try-ended", LevelInfo, []Name{Request, Peer, Last, Outcome, Reason, Status, Slow, Queued, Running, Limit, Elapsed}, "One attempt of a request has ended at a node. Request is the id used between nodes; the load fields are those of the exit when it answered."},
 	{RequestRun, "request-run", LevelInfo, []Name{Request, Route, Instance, Outcome, Reason, Status, Error}, "The exit has sent a request to its upstream. Request is the id used between nodes."},
+	{ConnectionsClosed, "connections-closed", LevelWarn, []Name{Address, Reason, Count}, "The node has refused or closed connections at a listener. Count is their number since the previous line; there is at most one line a second for each address and reason."},
 	{ManifestPublished, "manifest-published", LevelInfo, []Name{Revision, Digest, Change}, "The store has accepted a manifest."},
 	{ManifestAdopted, "manifest-adopted", LevelInfo, []Name{Revision, Digest, Elapsed}, "This node has put a manifest into effect."},
 	{ManifestRejected, "manifest-rejected", LevelError, []Name{Revision, Digest, Error}, "This node can't parse an accepted manifest and keeps the previous one."},
--- a/event/code.go
+++ b/event/code.go
@@ -62,6 +62,7 @@
 	RequestFailed
 	AttemptEnded
 	RequestRun
+	ConnectionsClosed
 )
 
 // Configuration: 600 to 699.
--- a/internal/crowd/system_test.go
+++ b/internal/crowd/system_test.go
@@ -127,7 +127,7 @@
 		"listen":    map[string]string{"callers": s.callers, "beats": s.beats, "ready": s.ready, "peers": s.peers},
 		"store":     map[string]string{"address": s.store.Address()},
 		"heartbeat": "1s", "grace": grace.String(), "probes": 60, "log": level,
-		"memory": memoryMegabytes,
+		"memory": memoryMegabytes, "descriptors": maxDescriptors,
 	})
 	assert.NilError(s.t, err)
 	next := s.settingsPath + ".next"
--- a/internal/fleet/conns.go
+++ b/internal/fleet/conns.go
@@ -1,99 +1,98 @@
 package fleet
 
 import (
-	"io"
-	"net"
-	"net/http"
-	"sync"
 	"time"
-)
 
-// lingerTimeout is the longest time that a closed connection waits for the caller
-// to read the last response and to close it, too.
-const lingerTimeout = 2 * time.Second
+	metrics "github.com/rcrowley/go-metrics"
 
-// callerConns tracks the connections on which a request is being read, run or
-// answered, or the last response may still be on its way. A response is written
-// to its connection only after its handler has returned.
-type callerConns struct {
-	mu        sync.Mutex
-	active    map[net.Conn]bool
-	lingering int
-}
+	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/internal/accept"
+	"github.com/cicadahall/cicadahall/internal/control/intake"
+	"github.com/cicadahall/cicadahall/internal/control/quota"
+)
+
+const (
+	// connsDivisor sets the part of the process's memory for the connections of
+	// callers and their incomplete heads: 440 of them at 184 MB and heads of
+	// 16 KiB, or 1,400 idle ones.
+	connsDivisor = 8
+	// fileDescriptors are reserved for files.
+	fileDescriptors = 200
+	// callersDivisor sets the part of the other descriptors for callers, and
+	// peersDivisor that for connections from other nodes. The rest is for
+	// connections to other nodes, the upstream and the store. With 4,100
+	// descriptors both are 1,300, more than one for each of 1,100 nodes.
+	callersDivisor, peersDivisor = 3, 3
+	// maxControlConns bounds the connections of each other listener, which has
+	// one client, and controlDivisor sets their part of few descriptors.
+	maxControlConns, controlDivisor = 64, 24
+	// maxCallerHeaderBytes bounds the limit of the configuration on heads.
+	maxCallerHeaderBytes = 1 << 20
+	// headSlack is what net/http allows beyond a limit on heads.
+	headSlack = 4 << 10
+)
 
-// recordState is the ConnState function of a server.
-func (cc *callerConns) recordState(c net.Conn, s http.ConnState) {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	if s != http.StateActive {
-		delete(cc.active, c)
-		return
+// maxConns returns the greatest number of connections of a listener, 0 without
+// a bound.
+func (n *Node) maxConns(listener string) int {
+	control := maxControlConns
+	shared := 0
+	if d := n.settings.Descriptors; d != nil {
+		shared = *d - fileDescriptors
+		control = min(control, shared/controlDivisor)
 	}
-	if cc.active == nil {
-		cc.active = map[net.Conn]bool{}
+	switch listener {
+	case callersPort:
+		return shared / callersDivisor
+	case peersPort:
+		return shared / peersDivisor
+	default:
+		return control
 	}
-	cc.active[c] = true
 }
 
-// count returns the number of tracked connections.
-func (cc *callerConns) count() int {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	return len(cc.active) + cc.lingering
-}
-
-func (cc *callerConns) addLingering(n int) {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	cc.lingering += n
-}
-
-// listen wraps a listener so that its connections linger.
-func (cc *callerConns) listen(l net.Listener) net.Listener {
-	return lingerListener{Listener: l, conns: cc}
-}
-
-type lingerListener struct {
-	net.Listener
-	conns *callerConns
-}
-
-// Accept returns the next connection.
-func (l lingerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
-		return &lingerConn{TCPConn: tcp, conns: l.conns}, nil
+// newGate returns the account of a listener's connections.
+func (n *Node) newGate(listener, address string) *accept.Gate {
+	account := intake.Options{MaxConns: n.maxConns(listener)}
+	if listener == callersPort {
+		account.MaxBytes = intake.Bytes(n.memory() / connsDivisor)
+	}
+	prefix := "connections." + listener + "."
+	g := accept.New(accept.Options{
+		Account:           account,
+		Limits:            n.callerLimits,
+		BodyReceiveBuffer: quota.ReceiveBuffer,
+		Count:             func(name string) { n.counter(prefix + name).Inc(1) },
+		Report: func(r accept.Reason, count int) {
+			n.log.Emit(event.ConnectionsClosed, event.NewField(event.Address, address), event.NewField(event.Reason, string(r)), event.NewField(event.Count, count))
+		},
+	})
+	for _, s := range intake.States() {
+		metrics.NewRegisteredFunctionalGauge(prefix+s.String(), n.metrics, func() int64 { return int64(g.Conns(s)) })
 	}
-	return c, err
+	metrics.NewRegisteredFunctionalGauge(prefix+"bytes", n.metrics, func() int64 { return int64(g.Bytes()) })
+	return g
 }
 
-// lingerConn is a connection of a caller. The system resets a connection that is
-// closed with unread input, which discards what is still on its way to the
-// caller. The input of a caller that sends requests without waiting for the
-// responses is therefore read to its end.
-type lingerConn struct {
-	*net.TCPConn
-	conns *callerConns
-	once  sync.Once
+// callerLimits returns the limits of the configuration in force on what callers
+// send, with defaults for those that it lacks.
+func (n *Node) callerLimits() accept.Limits {
+	l := accept.Limits{HeadBytes: maxHeaderBytes + headSlack, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	t := n.operator.table()
+	if t == nil {
+		return l
+	}
+	if t.Limits.MaxHeaderBytes > 0 {
+		l.HeadBytes = min(t.Limits.MaxHeaderBytes, maxCallerHeaderBytes)
+	}
+	l.HeadTimeout = orDefault(t.Limits.HeaderTimeout, l.HeadTimeout)
+	l.IdleTimeout = orDefault(t.Limits.IdleTimeout, l.IdleTimeout)
+	return l
 }
 
-// Close ends the output and closes the connection once the caller has closed it,
-// too, or lingerTimeout has passed.
-func (c *lingerConn) Close() error {
-	err := net.ErrClosed
-	c.once.Do(func() {
-		if err = c.CloseWrite(); err != nil {
-			err = c.TCPConn.Close()
-			return
-		}
-		c.conns.addLingering(1)
-		go func() {
-			defer c.conns.addLingering(-1)
-			defer func() { _ = c.TCPConn.Close() }()
-			_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-			// An error means that the connection has ended.
-			_, _ = io.Copy(io.Discard, c.TCPConn)
-		}()
-	})
-	return err
+func orDefault(d, standard time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return standard
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/admin"
 	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/entry"
@@ -84,7 +85,7 @@
 	upstream   *upstream
 	frontend   *frontend
 	ports      []*port
-	callers    callerConns
+	callers    *accept.Gate
 	draining   atomic.Bool
 	drainOnce  sync.Once
 	// stopping is set once callers' requests are refused.
@@ -324,7 +325,7 @@
 		defer cancel()
 		n.stopAccepting(ctx)
 		n.awaitRequests(ctx)
-		if n.callers.count() > 0 {
+		if n.callers.Busy() > 0 {
 			n.abort()
 			ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 			defer cancel()
@@ -338,7 +339,7 @@
 // is idle for a moment.
 func (n *Node) awaitRequests(ctx context.Context) {
 	for quiet := 0; quiet < quietPolls && ctx.Err() == nil; quiet++ {
-		if n.callers.count() > 0 || n.exit.Running() > 0 {
+		if n.callers.Busy() > 0 || n.exit.Running() > 0 {
 			quiet = -1
 		}
 		mono.Sleep(ctx, drainPollInterval)
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -11,6 +11,7 @@
 	"github.com/samber/oops"
 
 	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/conns"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/platform"
@@ -32,7 +33,8 @@
 	name      string
 	address   string
 	newServer func() *http.Server
-	// wrap returns the listener to serve; nil means the listener itself.
+	gate      *accept.Gate
+	// wrap returns the listener to serve.
 	wrap func(net.Listener) net.Listener
 	// initial is the listener opened by New; it is nil after the first Run.
 	initial net.Listener
@@ -42,8 +44,12 @@
 	stopped  atomic.Bool
 }
 
-// callersPort is the name of the callers' port.
-const callersPort = "callers"
+// callersPort and peersPort are the names of the ports for callers and for other
+// nodes.
+const (
+	callersPort = "callers"
+	peersPort   = "peers"
+)
 
 // stopListening closes the listener. Requests on open connections are served
 // until the end of Run.
@@ -61,7 +67,7 @@
 		optional      bool
 		newServer     func() *http.Server
 	}{
-		{"peers", l.Peers, false, func() *http.Server {
+		{peersPort, l.Peers, false, func() *http.Server {
 			return peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes, Quota: n.quota})
 		}},
 		{"admin", l.Admin, true, func() *http.Server { return newHTTPServer(n.adminHandler()) }},
@@ -74,9 +80,8 @@
 		}},
 		{"ready", l.Ready, false, func() *http.Server { return newHTTPServer(platform.ReadyHandler(n.ready)) }},
 		{callersPort, l.Callers, false, func() *http.Server {
-			s := newHTTPServer(n.frontend)
-			s.ConnState = n.callers.recordState
-			return s
+			// The gate sets the limits and the time-outs of the configuration.
+			return &http.Server{Handler: n.frontend, MaxHeaderBytes: maxCallerHeaderBytes}
 		}},
 	}
 	for _, p := range configs {
@@ -96,9 +101,10 @@
 			}
 			return oops.With("step", "listen", "peer", p.address).Wrap(err)
 		}
-		opened := &port{name: p.name, address: p.address, newServer: p.newServer, initial: listener}
+		gate := n.newGate(p.name, p.address)
+		opened := &port{name: p.name, address: p.address, gate: gate, newServer: p.newServer, initial: listener, wrap: gate.ListenPlain}
 		if p.name == callersPort {
-			opened.wrap = n.callers.listen
+			n.callers, opened.wrap = gate, gate.Listen
 		}
 		n.ports = append(n.ports, opened)
 	}
@@ -126,9 +132,8 @@
 	}
 	s := p.newServer()
 	p.listener.Store(&listener)
-	if p.wrap != nil {
-		listener = p.wrap(listener)
-	}
+	listener = p.wrap(listener)
+	s.ConnState = p.gate.RecordState
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(listener) }()
 	ready()
--- a/internal/spec/sidecar.go
+++ b/internal/spec/sidecar.go
@@ -21,13 +21,14 @@
 	Heartbeat time.Duration `json:"heartbeat" spec:"default=1500ms,min=10ms,max=1m" doc:"Time between two heartbeats of the upstream."`
 	Grace     time.Duration `json:"grace" spec:"default=6s,min=1s,max=10m" doc:"Time from SIGTERM to SIGKILL."`
 	// The parts of the node that these settings switch on are off without them.
-	Budget     *SidecarBudget   `json:"budget" spec:"optional" doc:"Limit of repeated requests over all nodes; without it they are limited by the routes' attempts only."`
-	Exposure   *SidecarExposure `json:"exposure" spec:"optional" doc:"Limit of requests to a new version before it is known to work, over all nodes; without it orders to move a version are refused."`
-	Cold       *SidecarCold     `json:"cold" spec:"optional" doc:"Limit of requests to a cold upstream; without it a cold upstream is treated as a warm one."`
-	Evacuation *time.Duration   `json:"evacuation" spec:"optional,min=0s,max=10m" doc:"Time within which an evacuated failure domain gets no more requests; without it orders to evacuate are refused."`
-	Probes     *float64         `json:"probes" spec:"optional,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second; without it there are none."`
-	Memory     Megabytes        `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
-	Log        Level            `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
+	Budget      *SidecarBudget   `json:"budget" spec:"optional" doc:"Limit of repeated requests over all nodes; without it they are limited by the routes' attempts only."`
+	Exposure    *SidecarExposure `json:"exposure" spec:"optional" doc:"Limit of requests to a new version before it is known to work, over all nodes; without it orders to move a version are refused."`
+	Cold        *SidecarCold     `json:"cold" spec:"optional" doc:"Limit of requests to a cold upstream; without it a cold upstream is treated as a warm one."`
+	Evacuation  *time.Duration   `json:"evacuation" spec:"optional,min=0s,max=10m" doc:"Time within which an evacuated failure domain gets no more requests; without it orders to evacuate are refused."`
+	Probes      *float64         `json:"probes" spec:"optional,min=0,max=1000" doc:"Maximum number of health checks of an upstream per second; without it there are none."`
+	Memory      Megabytes        `json:"memory" spec:"default=184,min=64,max=1048576" doc:"Memory of the node's process in MB, including bytes that it has received and not yet read."`
+	Descriptors *int             `json:"descriptors" spec:"optional,min=256,max=1048576" doc:"Maximum number of open file descriptors of the node's process; without it connections are bounded by memory only."`
+	Log         Level            `json:"log" spec:"default=info,enum=debug|info|warn|error" doc:"Lowest level of events that are logged."`
 }
 
 // Megabytes is an amount of memory in units of 1,000,000 bytes.
--- a/route/route.go
+++ b/route/route.go
@@ -59,6 +59,11 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum body size in bytes.
 	MaxBodyBytes int
+	// MaxHeaderBytes is the maximum size of a request's head in bytes,
+	// HeaderTimeout the time for it, and IdleTimeout the time that a connection
+	// may stay idle. 0 means the default.
+	MaxHeaderBytes             int
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Table is the routing table of one configuration.
