accept, quota: close stalled bodies and unread responses

A body that stops held its memory until the deadline of its request, and a caller that sent requests and read no response held its connection without end.

A charge that doesn't fit now closes incomplete bodies that have received nothing for header_timeout_ms, the slowest first, and waits up to 50 ms for their memory. A response of which the caller reads nothing for 5 s no longer keeps its connection when the account is full, and ends after a minute in any case. Heads of peers' requests are bounded to 64 KiB.

The receive buffer stays at 64 KiB.

--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -30,8 +30,10 @@
 
 func serve(t *testing.T, o accept.Options, handler http.HandlerFunc) *server {
 	s := &server{}
-	o.Limits = func() accept.Limits { return limits }
-	o.BodyReceiveBuffer = 64 << 10
+	if o.Limits == nil {
+		o.Limits = func() accept.Limits { return limits }
+	}
+	o.ReceiveBuffer = 64 << 10
 	o.Count = func(name string) {
 		if name == "accepted" {
 			s.accepted.Add(1)
@@ -213,3 +215,54 @@
 	client.CloseIdleConnections()
 	await(t, "the connection to end", func() bool { return s.gate.Bytes() == 0 && s.gate.Busy() == 0 })
 }
+
+// Guards against callers that send requests and read no response, and that keep
+// all connections for themselves.
+func TestUnreadResponses(t *testing.T) {
+	const most = 4
+	response := make([]byte, 60<<10)
+	s := serve(t, accept.Options{Account: intake.Options{MaxConns: most}}, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(response)
+	})
+	for range most {
+		c := s.dial(t)
+		go func() {
+			for {
+				if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	await(t, "responses to be unread", func() bool { return s.gate.Conns(intake.Writing) == most })
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	await(t, "another caller to be served", func() bool {
+		resp, err := client.Get("http://" + s.address)
+		return err == nil && resp.StatusCode == http.StatusOK && resp.Body.Close() == nil
+	})
+}
+
+// Guards against a body that stops and holds its memory, and against one that is
+// ended although it keeps the pace.
+func TestPaceOfBodies(t *testing.T) {
+	const window = 400 * time.Millisecond
+	slow := limits
+	slow.HeadTimeout, slow.PaceBytes, slow.PaceWindow = window, 10, window
+	s := serve(t, accept.Options{Limits: func() accept.Limits { return slow }}, echo)
+	const size = 200
+	send := func(step time.Duration, count int) *http.Response {
+		c := s.dial(t)
+		_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+		assert.NilError(t, err)
+		for range count {
+			_, err := c.Write(make([]byte, 10))
+			assert.NilError(t, err)
+			time.Sleep(step)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		return resp
+	}
+	assert.Equal(t, send(window/8, size/10).StatusCode, http.StatusOK)
+	assert.Equal(t, send(0, size/10-1).StatusCode, http.StatusBadRequest)
+}
--- a/internal/accept/conn.go
+++ b/internal/accept/conn.go
@@ -13,15 +13,12 @@
 )
 
 const (
+	// unreadTimeout bounds the time in which a caller reads nothing of a response.
+	// At 417 bytes/s the system takes more of it every 13 s at its smallest buffer.
+	unreadTimeout = time.Minute
 	// lingerTimeout is the longest time that a closed connection waits for the
 	// caller to read the last response and to close it, too.
 	lingerTimeout = 2 * time.Second
-	// paceWindow and paceBytes are the least pace of a body after the time for a
-	// head: 320 bytes in each 10 s. A caller on a link of 10 Mbit/s that is
-	// narrowed 30 times and shared by 100 connections sends 417 bytes/s, which is
-	// 4,170 bytes in that time and two packets of 1,460 bytes at least.
-	paceWindow = 10 * time.Second
-	paceBytes  = 320
 )
 
 // conn is a connection of a caller.
@@ -32,7 +29,8 @@
 	deadlines deadlines
 	once      sync.Once
 
-	// The following are used by the reader only, which net/http allows one of.
+	// The following are used by the goroutine that serves the connection, or by the
+	// one that reads ahead for it.
 	framer intake.Framer
 	// ready holds the rest of a complete head, extra the bytes after it that were
 	// read too early, and given counts the bytes of an incomplete head that
@@ -42,8 +40,8 @@
 	// broken is an error found while a request ran, which ends the connection
 	// after that request.
 	broken error
-	// wide is set while the receive buffer is that for bodies.
-	wide bool
+	// writeDeadline is the deadline that net/http has set for writes.
+	writeDeadline time.Time
 	// windowEnd is the end of the current window of the pace, received the bytes
 	// in it.
 	windowEnd time.Time
@@ -112,7 +110,7 @@
 		if n == 0 {
 			return c.headError(err)
 		}
-		if !c.start() || !c.gate.receive(c.id, n, false, 0) {
+		if !c.start() || !c.gate.move(c.id, n, false, 0) {
 			return errEvicted
 		}
 		used, info, err := c.framer.Head(b[:n], c.limits.HeadBytes)
@@ -155,11 +153,11 @@
 	if started {
 		return true
 	}
-	if !c.gate.charge(c.id, headCharge(c.limits)) {
+	if !c.gate.charge(c.id, c.gate.headCharge(c.limits)) {
 		c.gate.note("refused", Full)
 		return false
 	}
-	if !c.gate.receive(c.id, 0, true, intake.Head) {
+	if !c.gate.move(c.id, 0, true, intake.Head) {
 		return false
 	}
 	c.deadlines.setOwn(c.TCPConn, time.Now().Add(c.limits.HeadTimeout))
@@ -175,9 +173,7 @@
 	state, charge := intake.Running, connBytes+max(intake.Bytes(len(info.Bytes)), intake.Bytes(info.Lines)*lineBytes)+intake.Bytes(len(c.extra))
 	if !c.framer.InHead() {
 		state = intake.Body
-		_ = c.SetReadBuffer(c.gate.options.BodyReceiveBuffer) // without it the body arrives more slowly
-		c.wide = true
-		c.windowEnd, c.received = time.Now().Add(c.limits.HeadTimeout), paceBytes
+		c.windowEnd, c.received = time.Now().Add(c.limits.HeadTimeout), c.limits.PaceBytes
 	}
 	c.deadlines.setOwn(c.TCPConn, c.windowEnd)
 	if !c.gate.charge(c.id, charge) {
@@ -185,9 +181,12 @@
 		c.gate.note("refused", Full)
 		return errEvicted
 	}
-	if !c.gate.receive(c.id, 0, true, state) {
+	if !c.gate.move(c.id, 0, true, state) {
 		return errEvicted
 	}
+	if state == intake.Body {
+		c.gate.setBody(c.id, c.framer.BodyLength())
+	}
 	return nil
 }
 
@@ -209,7 +208,7 @@
 		c.received += used
 		c.unread(p[used:n])
 		ended := c.framer.InHead()
-		if !c.gate.receive(c.id, used, ended, intake.Running) {
+		if !c.gate.move(c.id, used, ended, intake.Running) {
 			return 0, errEvicted
 		}
 		if ended {
@@ -229,11 +228,11 @@
 	if now.Before(c.windowEnd) {
 		return false // the deadline of net/http
 	}
-	if c.received < paceBytes {
+	if c.received < c.limits.PaceBytes {
 		c.gate.note("late", BodyPace)
 		return false
 	}
-	c.windowEnd, c.received = now.Add(paceWindow), 0
+	c.windowEnd, c.received = now.Add(c.limits.PaceWindow), 0
 	c.deadlines.setOwn(c.TCPConn, c.windowEnd)
 	return true
 }
@@ -302,12 +301,8 @@
 		return
 	}
 	c.deadlines.setOwn(c.TCPConn, time.Now().Add(g.options.Limits().IdleTimeout))
-	if c.wide {
-		_ = c.SetReadBuffer(headReceiveBuffer) // without it the charge is too low for a moment
-		c.wide = false
-	}
 	g.charge(c.id, connBytes)
-	g.receive(c.id, 0, true, intake.Idle)
+	g.move(c.id, 0, true, intake.Idle)
 }
 
 // SetReadDeadline sets the deadline of net/http.
@@ -318,6 +313,34 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// writePiece is the size of the pieces of a response between which its progress is
+// recorded.
+const writePiece = 64 << 10
+
+// Write sends a response. Without a deadline of net/http, it ends if the caller reads
+// nothing for unreadTimeout.
+func (c *conn) Write(p []byte) (int, error) {
+	c.gate.startWriting(c.id)
+	written := 0
+	for {
+		if c.writeDeadline.IsZero() {
+			_ = c.TCPConn.SetWriteDeadline(time.Now().Add(unreadTimeout)) // an error means that the connection is closed
+		}
+		n, err := c.TCPConn.Write(p[written:min(len(p), written+writePiece)])
+		written += n
+		c.gate.move(c.id, n, false, 0)
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// SetWriteDeadline sets the deadline of net/http.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.writeDeadline = t
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // Close ends the output and closes the connection once the caller has closed it,
 // too, or lingerTimeout has passed. The system resets a connection that is closed
 // with unread input, which discards what is still on its way to the caller. The
@@ -331,7 +354,7 @@
 			err = c.TCPConn.Close()
 			return
 		}
-		if !c.gate.receive(c.id, 0, true, intake.Lingering) {
+		if !c.gate.move(c.id, 0, true, intake.Lingering) {
 			err = c.TCPConn.Close()
 			return
 		}
--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -20,9 +20,6 @@
 	// connBytes is the charge of a connection: 11.4 KB were measured with 4,300
 	// connections, for a goroutine's stack and the buffers of net/http.
 	connBytes intake.Bytes = 16 << 10
-	// headReceiveBuffer is the size of the receive buffer while a head is
-	// expected.
-	headReceiveBuffer = 16 << 10
 	// lineBytes is the charge of a field of a complete head: net/http stores its
 	// name, its value and their entry in a map.
 	lineBytes intake.Bytes = 512
@@ -50,16 +47,29 @@
 	HeadTimeout time.Duration
 	// IdleTimeout is the time that a connection may stay idle.
 	IdleTimeout time.Duration
+	// PaceBytes must arrive of an incomplete body in each PaceWindow, which first
+	// begins HeadTimeout after the body.
+	PaceBytes  int
+	PaceWindow time.Duration
 }
 
+// DefaultPaceBytes and DefaultPaceWindow are the least pace of bodies. A caller on
+// a link of 10 Mbit/s that is narrowed 30 times and shared by 100 connections sends
+// 417 bytes/s, which is 4,170 bytes in that time and two packets of 1,460 bytes at
+// least.
+const (
+	DefaultPaceBytes  = 320
+	DefaultPaceWindow = 10 * time.Second
+)
+
 // Options configures a Gate. All functions are required.
 type Options struct {
 	Account intake.Options
 	// Limits returns the limits in force.
 	Limits func() Limits
-	// BodyReceiveBuffer is the size of the receive buffer while a body is
-	// received.
-	BodyReceiveBuffer int
+	// ReceiveBuffer is the size of the receive buffer of a connection. It counts
+	// while a head is incomplete, and later with the memory of the request.
+	ReceiveBuffer intake.Bytes
 	// Count counts accepted, refused and evicted connections.
 	Count func(name string)
 	// Report is called at most once per second and reason, with the number of
@@ -142,8 +152,7 @@
 		limits := l.gate.options.Limits()
 		c := &conn{TCPConn: tcp, gate: l.gate}
 		c.deadlines.own = time.Now().Add(limits.HeadTimeout)
-		if l.gate.add(c, tcp, headCharge(limits)) {
-			_ = tcp.SetReadBuffer(headReceiveBuffer) // without it the system's default applies
+		if l.gate.add(c, tcp, l.gate.headCharge(limits)) {
 			return c, nil
 		}
 		_ = tcp.Close()
@@ -170,9 +179,12 @@
 	return true
 }
 
-// headCharge is the most that a connection costs until a head is complete.
-func headCharge(l Limits) intake.Bytes {
-	return connBytes + headReceiveBuffer + intake.Bytes(l.HeadBytes)
+// headCharge is the most that a connection costs until a head is complete. The
+// receive buffer isn't resized between heads and bodies: with 16 KiB for heads, 4 of
+// 60 bodies of 64 MiB on a kept connection stood still for 9 s, since the system
+// drops what arrives beyond a buffer that has shrunk.
+func (g *Gate) headCharge(l Limits) intake.Bytes {
+	return connBytes + g.options.ReceiveBuffer + intake.Bytes(l.HeadBytes)
 }
 
 // take removes connections that the account has removed. The caller must hold mu
@@ -205,19 +217,47 @@
 	return charged
 }
 
-// receive records n bytes and, if change is set, a new state. It reports whether
+// move records n bytes and, if change is set, a new state. It reports whether
 // the connection is still in the account.
-func (g *Gate) receive(id intake.ID, n int, change bool, s intake.State) bool {
+func (g *Gate) move(id intake.ID, n int, change bool, s intake.State) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.account.Receive(id, n, now)
+	g.account.Move(id, n, now)
 	if change {
 		g.account.SetState(id, s, now)
 	}
 	return g.account.Has(id)
 }
 
+func (g *Gate) setBody(id intake.ID, length intake.Bytes) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account.SetBody(id, length, time.Now())
+}
+
+// CloseStalled closes connections with incomplete bodies that have received nothing
+// for the time of a head, the slowest first, until their bodies occupy the given
+// bytes. It reports whether there were any.
+func (g *Gate) CloseStalled(bytes intake.Bytes) bool {
+	stalled := g.options.Limits().HeadTimeout
+	g.mu.Lock()
+	evicted := g.take(g.account.TakeStalled(bytes, stalled, time.Now()))
+	g.mu.Unlock()
+	g.closeAll(evicted)
+	return len(evicted) > 0
+}
+
+// startWriting records that a response is being written, unless a request is still
+// incomplete.
+func (g *Gate) startWriting(id intake.ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.account.State(id) == intake.Running {
+		g.account.SetState(id, intake.Writing, time.Now())
+	}
+}
+
 func (g *Gate) remove(id intake.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/accept/plain.go
+++ b/internal/accept/plain.go
@@ -48,11 +48,11 @@
 func (c *plainConn) recordState(s http.ConnState) {
 	switch s {
 	case http.StateActive:
-		if !c.gate.receive(c.id, 0, true, intake.Running) {
+		if !c.gate.move(c.id, 0, true, intake.Running) {
 			_ = c.SetDeadline(time.Unix(1, 0)) // it has been closed for another one
 		}
 	case http.StateIdle:
-		c.gate.receive(c.id, 0, true, intake.Idle)
+		c.gate.move(c.id, 0, true, intake.Idle)
 	default:
 	}
 }
--- a/internal/control/intake/account.go
+++ b/internal/control/intake/account.go
@@ -9,7 +9,9 @@
 package intake
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -27,28 +29,34 @@
 	Head State = iota
 	// Body means that a request's body is incomplete.
 	Body
-	// Running means that a request runs or that its response is being written.
+	// Running means that a request runs.
 	Running
+	// Writing means that the response of a request is being written.
+	Writing
 	// Idle means that the connection carries no request.
 	Idle
 	// Lingering means that the last response may still be on its way.
 	Lingering
 
-	states = 5
+	states = 6
 )
 
 // String returns the name of the state in metrics.
 func (s State) String() string {
-	return [states]string{"head", "body", "running", "idle", "lingering"}[s]
+	return [states]string{"head", "body", "running", "writing", "idle", "lingering"}[s]
 }
 
 // States returns all states.
-func States() []State { return []State{Head, Body, Running, Idle, Lingering} }
+func States() []State { return []State{Head, Body, Running, Writing, Idle, Lingering} }
 
 // progressHalfLife is the time in which the weight of received bytes halves. A
 // sender that stops falls behind one that has just begun within a few seconds.
 const progressHalfLife = time.Second
 
+// unreadTimeout is the time after which a response that its caller doesn't read no
+// longer keeps its connection open when the account is full.
+const unreadTimeout = 5 * time.Second
+
 // newcomerProgress is the progress of a new connection, in bytes. It keeps one that
 // hasn't had the time to send from being closed before those that have stopped.
 const newcomerProgress = 16 << 10
@@ -79,6 +87,9 @@
 	at       time.Time
 	// since is the time of the latest change of the state.
 	since time.Time
+	// length is the length of the body if it is known, and received counts the
+	// bytes of the current head or body.
+	length, received Bytes
 }
 
 // New returns an empty account.
@@ -119,6 +130,36 @@
 	return closed, true
 }
 
+// SetBody sets the state Body. The length is 0 if it is unknown.
+func (a *Account) SetBody(id ID, length Bytes, now time.Time) {
+	a.SetState(id, Body, now)
+	if c := a.byID[id]; c != nil {
+		c.length = length
+	}
+}
+
+// TakeStalled removes the connections with incomplete bodies that have received
+// nothing for a time, the slowest first, until their bodies occupy the given bytes.
+// It returns them; the caller closes them.
+func (a *Account) TakeStalled(bytes Bytes, stalled time.Duration, now time.Time) (closed []ID) {
+	var found []*conn
+	for _, c := range a.conns {
+		if c.state == Body && now.Sub(c.at) >= stalled {
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b *conn) int { return cmp.Compare(a.progressAt(now), b.progressAt(now)) })
+	for _, c := range found {
+		if bytes <= 0 {
+			break
+		}
+		bytes -= max(c.length, c.received)
+		a.remove(c)
+		closed = append(closed, c.id)
+	}
+	return closed
+}
+
 // SetState sets the state of a connection.
 func (a *Account) SetState(id ID, s State, now time.Time) {
 	c := a.byID[id]
@@ -127,16 +168,21 @@
 	}
 	a.counts[c.state]--
 	a.counts[s]++
-	if s == Head {
+	switch s {
+	case Head:
 		c.progress, c.at = newcomerProgress, now
+	case Writing:
+		c.progress, c.at = 0, now
+	default:
 	}
-	c.state, c.since = s, now
+	c.state, c.since, c.received = s, now, 0
 }
 
-// Receive records n bytes received on a connection.
-func (a *Account) Receive(id ID, n int, now time.Time) {
+// Move records n bytes received or, in the state Writing, sent on a connection.
+func (a *Account) Move(id ID, n int, now time.Time) {
 	if c := a.byID[id]; c != nil {
 		c.progress, c.at = c.progressAt(now)+float64(n), now
+		c.received += Bytes(n)
 	}
 }
 
@@ -147,6 +193,14 @@
 	}
 }
 
+// State returns the state of a connection, which is Head if it isn't in the account.
+func (a *Account) State(id ID) State {
+	if c := a.byID[id]; c != nil {
+		return c.state
+	}
+	return Head
+}
+
 // Has reports whether a connection is in the account.
 func (a *Account) Has(id ID) bool { return a.byID[id] != nil }
 
@@ -172,7 +226,7 @@
 	if a.fits(conns, bytes) {
 		return nil, true
 	}
-	if !a.canFit(keep, conns, bytes) {
+	if !a.canFit(keep, conns, bytes, now) {
 		return nil, false
 	}
 	for !a.fits(conns, bytes) {
@@ -190,11 +244,11 @@
 
 // canFit reports whether more connections and bytes fit without all connections
 // that may be closed.
-func (a *Account) canFit(keep *conn, conns int, bytes Bytes) bool {
+func (a *Account) canFit(keep *conn, conns int, bytes Bytes, now time.Time) bool {
 	closable := 0
 	var closableBytes Bytes
 	for _, c := range a.conns {
-		if c != keep && c.state != Running {
+		if c != keep && c.closable(now) {
 			closable++
 			closableBytes += c.bytes
 		}
@@ -203,12 +257,13 @@
 }
 
 // worst returns the connection to close first: an incomplete one, the slowest in
-// progress of these, then the longest idle, then the longest lingering.
+// progress of these, then the longest idle, then the longest lingering, then those
+// with an unread response.
 func (a *Account) worst(keep *conn, now time.Time) *conn {
 	var worst *conn
 	worstRank, worstScore := math.MaxInt, math.Inf(1)
 	for _, c := range a.conns {
-		if c == keep || c.state == Running {
+		if c == keep || !c.closable(now) {
 			continue
 		}
 		rank, score := c.order(now)
@@ -227,8 +282,22 @@
 		return 0, c.progressAt(now)
 	case Idle:
 		return 1, -now.Sub(c.since).Seconds()
-	default:
+	case Lingering:
 		return 2, -now.Sub(c.since).Seconds()
+	default:
+		return 3, c.progressAt(now)
+	}
+}
+
+// closable reports whether a connection may be closed for another one.
+func (c *conn) closable(now time.Time) bool {
+	switch c.state {
+	case Running:
+		return false
+	case Writing:
+		return now.Sub(c.at) >= unreadTimeout
+	default:
+		return true
 	}
 }
 
--- a/internal/control/intake/account_test.go
+++ b/internal/control/intake/account_test.go
@@ -36,7 +36,7 @@
 			default:
 				held[other] = rapid.SampledFrom(intake.States()).Draw(t, "state")
 				a.SetState(other, held[other], now)
-				a.Receive(other, int(bytes), now)
+				a.Move(other, int(bytes), now)
 			}
 			for _, c := range closed {
 				assert.Assert(t, held[c] != intake.Running, "a running request was closed")
@@ -72,9 +72,9 @@
 	a.SetState(2, intake.Idle, start)
 	a.SetState(3, intake.Body, start)
 	now := start.Add(5 * time.Second)
-	a.Receive(4, 10, now) // a head with some progress
-	a.Receive(3, 1_000_000, start)
-	a.Receive(5, 100_000, now)
+	a.Move(4, 10, now) // a head with some progress
+	a.Move(3, 1_000_000, start)
+	a.Move(5, 100_000, now)
 	for id, want := range []intake.ID{4, 3, 5, 2, 1} {
 		closed, added := a.Add(intake.ID(10+id), 1, now)
 		assert.Assert(t, added)
@@ -83,6 +83,12 @@
 	}
 	_, added := a.Add(20, 1, now)
 	assert.Assert(t, !added, "there is only room if a running request is closed")
+	a.SetState(0, intake.Writing, now)
+	_, added = a.Add(20, 1, now.Add(4*time.Second))
+	assert.Assert(t, !added, "there is only room if a response that is being read is closed")
+	closed, added := a.Add(20, 1, now.Add(5*time.Second))
+	assert.Assert(t, added)
+	assert.DeepEqual(t, closed, []intake.ID{0})
 }
 
 // Guards against a charge without effect that has closed other connections, or a
@@ -100,3 +106,21 @@
 	assert.Equal(t, len(closed), 2)
 	assert.Assert(t, a.Has(0))
 }
+
+// Guards against a body that has stopped and keeps its memory while another one
+// needs it, and against closing one that still arrives.
+func TestStalledBodies(t *testing.T) {
+	a := intake.New(intake.Options{})
+	for id := range intake.ID(4) {
+		a.Add(id, 1, start)
+		a.SetBody(id, 100, start)
+		a.Move(id, 10+int(id), start)
+	}
+	now := start.Add(3 * time.Second)
+	a.Move(0, 1, now.Add(-time.Second))
+	a.SetState(1, intake.Running, now)
+	assert.DeepEqual(t, a.TakeStalled(1, 2*time.Second, now), []intake.ID{2})
+	assert.DeepEqual(t, a.TakeStalled(1000, 2*time.Second, now), []intake.ID{3})
+	assert.Equal(t, len(a.TakeStalled(1000, 2*time.Second, now)), 0)
+	assert.Assert(t, a.Has(0) && a.Has(1))
+}
--- a/internal/control/intake/framer.go
+++ b/internal/control/intake/framer.go
@@ -68,6 +68,14 @@
 // before it.
 func (f *Framer) InHead() bool { return f.phase == inHead }
 
+// BodyLength returns what is left of a body, 0 if that is unknown.
+func (f *Framer) BodyLength() Bytes {
+	if f.phase != inBody {
+		return 0
+	}
+	return Bytes(f.remaining)
+}
+
 // Buffered returns the number of bytes of an incomplete head.
 func (f *Framer) Buffered() int { return len(f.head) }
 
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Bytes is an amount of memory.
@@ -65,6 +66,11 @@
 	collectDivisor = 4
 	// maxCollections bounds the garbage collections that one charge waits for.
 	maxCollections = 2
+	// reclaimTimeout bounds the wait for closed requests to release their memory,
+	// which takes the time to schedule their goroutines, and reclaimInterval is
+	// the time between two attempts.
+	reclaimTimeout  = 50 * time.Millisecond
+	reclaimInterval = 2 * time.Millisecond
 )
 
 var (
@@ -74,12 +80,16 @@
 	ErrTooLarge = errors.New("size exceeds the memory of one request")
 )
 
-// Options configures a Quota. All fields are required.
+// Options configures a Quota. All fields but Reclaim are required.
 type Options struct {
 	// Limit is the largest number of bytes that are charged at one time.
 	Limit Bytes
 	// Collect frees the memory that is no longer referenced, as runtime.GC does.
 	Collect func()
+	// Reclaim, if set, is called before a charge is refused because the memory is
+	// in use. It closes requests that hold at least n bytes without progress, and
+	// reports whether there were any, which release their memory soon after.
+	Reclaim func(n Bytes) bool
 	// OnRefusal is called for each charge that is refused.
 	OnRefusal func(Kind, error)
 }
@@ -184,10 +194,25 @@
 	if n > limit-held {
 		return fmt.Errorf("%w: %d bytes for a %s, %d are allowed", ErrTooLarge, n, k, limit-held)
 	}
+	if q.collectAndTake(k, n, limit) {
+		return nil
+	}
+	if q.options.Reclaim != nil && q.options.Reclaim(n) {
+		for end := time.Now().Add(reclaimTimeout); time.Now().Before(end); time.Sleep(reclaimInterval) {
+			if q.collectAndTake(k, n, limit) {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("%w: %d bytes for a %s", ErrFull, n, k)
+}
+
+// collectAndTake charges n bytes if they fit, after collections if needed.
+func (q *Quota) collectAndTake(k Kind, n, limit Bytes) bool {
 	for range maxCollections {
 		collected, charged := q.take(k, n, limit)
 		if charged {
-			return nil
+			return true
 		}
 		if collected == nil {
 			break
@@ -198,10 +223,8 @@
 		case <-q.ended:
 		}
 	}
-	if _, charged := q.take(k, n, limit); charged {
-		return nil
-	}
-	return fmt.Errorf("%w: %d bytes for a %s", ErrFull, n, k)
+	_, charged := q.take(k, n, limit)
+	return charged
 }
 
 // take charges n bytes if they fit. Otherwise it returns the channel that is
--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -194,3 +194,30 @@
 	first.Release()
 	assert.Assert(t, errors.Is(second.Grow(quota.Body, largest), quota.ErrFull))
 }
+
+// Guards against a charge that is refused although requests without progress hold
+// the memory, or that takes it before they have released it.
+func TestReclaim(t *testing.T) {
+	var stalled *quota.Lease
+	asked := quota.Bytes(0)
+	q := quota.New(quota.Options{Limit: limit, Collect: func() {}, OnRefusal: func(quota.Kind, error) {}, Reclaim: func(n quota.Bytes) bool {
+		asked = n
+		if stalled == nil {
+			return false
+		}
+		go stalled.Release()
+		stalled = nil
+		return true
+	}})
+	t.Cleanup(q.Close)
+	first, err := q.NewLease()
+	assert.NilError(t, err)
+	assert.NilError(t, first.Grow(quota.Body, largest))
+	second, err := q.NewLease()
+	assert.NilError(t, err)
+	assert.ErrorIs(t, second.Grow(quota.Body, 1<<20), quota.ErrFull)
+	assert.Equal(t, asked, quota.Bytes(1<<20))
+	stalled = first
+	assert.NilError(t, second.Grow(quota.Body, 1<<20))
+	assert.Assert(t, used(q) <= limit)
+}
--- a/internal/crowd/system_test.go
+++ b/internal/crowd/system_test.go
@@ -75,6 +75,7 @@
 	callers, beats, ready, peers string
 	store                        *fake.Store
 	upstream                     *fake.Upstream
+	megabytes                    int
 	sequence                     int
 	client                       http.Client
 	descriptors                  atomic.Int64
@@ -86,9 +87,12 @@
  {"name":"book","kind":"unsafe","target_latency_ms":500,"priority":0,"match":{"prefix":"/book/"},"action":{"service":"counter","timeout_ms":9000,"max_attempts":2}}]}],
 "clusters":[{"name":"counter","health_path":"/health","max_conns":50,"cold_start_s":3,"cold_per_s":6}]}`
 
-func start(t *testing.T) *system {
-	s := &system{t: t, store: fake.NewStore(), client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
-	s.store.Put("op", "config", fmt.Sprintf(configuration, maxBodyBytes))
+func start(t *testing.T) *system { return startWith(t, memoryMegabytes, maxBodyBytes) }
+
+// startWith starts a node with the given memory and limit of bodies.
+func startWith(t *testing.T, megabytes, bodyLimit int) *system {
+	s := &system{t: t, megabytes: megabytes, store: fake.NewStore(), client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s.store.Put("op", "config", fmt.Sprintf(configuration, bodyLimit))
 	body := bytes.Repeat([]byte("x"), largeResponse)
 	s.upstream = fake.NewUpstream("i-0", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -127,7 +131,7 @@
 		"listen":    map[string]string{"callers": s.callers, "beats": s.beats, "ready": s.ready, "peers": s.peers},
 		"store":     map[string]string{"address": s.store.Address()},
 		"heartbeat": "1s", "grace": grace.String(), "probes": 60, "log": level,
-		"memory": memoryMegabytes, "descriptors": maxDescriptors,
+		"memory": s.megabytes, "descriptors": maxDescriptors,
 	})
 	assert.NilError(s.t, err)
 	next := s.settingsPath + ".next"
@@ -210,7 +214,7 @@
 	assert.Assert(s.t, s.process.Running(), "the process has ended: %s", s.process.Tail())
 	peak, descriptors := s.peakBytes(), s.descriptors.Load()
 	s.t.Logf("peak of %.1f MB and %d descriptors", float64(peak)/1e6, descriptors)
-	assert.Check(s.t, peak < memoryMegabytes*1_000_000, "the process has used %d bytes", peak)
+	assert.Check(s.t, peak < int64(s.megabytes)*1_000_000, "the process has used %d bytes", peak)
 	assert.Check(s.t, descriptors <= maxDescriptors, "the process has opened %d descriptors", descriptors)
 }
 
--- a/internal/fleet/conns.go
+++ b/internal/fleet/conns.go
@@ -13,9 +13,9 @@
 
 const (
 	// connsDivisor sets the part of the process's memory for the connections of
-	// callers and their incomplete heads: 440 of them at 184 MB and heads of
-	// 16 KiB, or 1,400 idle ones.
-	connsDivisor = 8
+	// callers and their incomplete heads: 311 of them at 184 MB and heads of
+	// 16 KiB, or 1,870 idle ones.
+	connsDivisor = 6
 	// fileDescriptors are reserved for files.
 	fileDescriptors = 200
 	// callersDivisor sets the part of the other descriptors for callers, and
@@ -59,10 +59,10 @@
 	}
 	prefix := "connections." + listener + "."
 	g := accept.New(accept.Options{
-		Account:           account,
-		Limits:            n.callerLimits,
-		BodyReceiveBuffer: quota.ReceiveBuffer,
-		Count:             func(name string) { n.counter(prefix + name).Inc(1) },
+		Account:       account,
+		Limits:        n.callerLimits,
+		ReceiveBuffer: quota.ReceiveBuffer,
+		Count:         func(name string) { n.counter(prefix + name).Inc(1) },
 		Report: func(r accept.Reason, count int) {
 			n.log.Emit(event.ConnectionsClosed, event.NewField(event.Address, address), event.NewField(event.Reason, string(r)), event.NewField(event.Count, count))
 		},
@@ -77,7 +77,7 @@
 // callerLimits returns the limits of the configuration in force on what callers
 // send, with defaults for those that it lacks.
 func (n *Node) callerLimits() accept.Limits {
-	l := accept.Limits{HeadBytes: maxHeaderBytes + headSlack, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	l := accept.Limits{HeadBytes: maxHeaderBytes + headSlack, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, PaceBytes: accept.DefaultPaceBytes, PaceWindow: accept.DefaultPaceWindow}
 	t := n.operator.table()
 	if t == nil {
 		return l
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/admin"
+	"github.com/cicadahall/cicadahall/internal/control/intake"
 	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/entry"
 	"github.com/cicadahall/cicadahall/internal/exit"
@@ -152,6 +153,7 @@
 	q := quota.New(quota.Options{
 		Limit:     n.memory() / quotaDivisor,
 		Collect:   runtime.GC,
+		Reclaim:   func(bytes quota.Bytes) bool { return n.callers.CloseStalled(intake.Bytes(bytes)) },
 		OnRefusal: func(k quota.Kind, _ error) { n.counter("memory.refused." + k.String()).Inc(1) },
 	})
 	for _, k := range quota.Kinds() {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,9 @@
 	// connection first and no request is sent on a connection that the server
 	// is closing.
 	serverIdleTimeout = 2 * idleTimeout
+	// maxHeaderBytes bounds the headers of a peer's request, which are a few
+	// hundred bytes. The headers of a caller's request are in the message.
+	maxHeaderBytes = 64 << 10
 )
 
 // NewServer returns the HTTP server for a node's peer port. It confirms a
@@ -50,6 +53,7 @@
 		Handler:           serveMux,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
