--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -60,7 +60,7 @@
 // echo answers with the request's body.
 func echo(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if err != nil || r.Method != http.MethodPost && r.Method != http.MethodGet {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -252,6 +252,7 @@
 	const size = 200
 	send := func(step time.Duration, count int) *http.Response {
 		c := s.dial(t)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
 		_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
 		assert.NilError(t, err)
 		for range count {
