--- a/event/code.go
+++ b/event/code.go
@@ -63,6 +63,7 @@
 	AttemptEnded
 	RequestRun
 	RequestUnauthorized
+	ConnectionsClosed
 )
 
 // Configuration: 600 to 699.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,7 +27,9 @@
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
+	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/admin"
+	"github.com/cicadahall/cicadahall/internal/control/intake"
 	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/entry"
 	"github.com/cicadahall/cicadahall/internal/exit"
@@ -87,7 +89,7 @@
 	calls      *callDetector
 	workspaces *workspaceMetrics
 	ports      []*port
-	callers    callerConns
+	callers    *accept.Gate
 	draining   atomic.Bool
 	drainOnce  sync.Once
 	// stopping is set once callers' requests are refused.
@@ -157,6 +159,7 @@
 	q := quota.New(quota.Options{
 		Limit:     n.memory() / quotaDivisor,
 		Collect:   runtime.GC,
+		Reclaim:   func(bytes quota.Bytes) bool { return n.callers.CloseStalled(intake.Bytes(bytes)) },
 		OnRefusal: func(k quota.Kind, _ error) { n.counter("memory.refused." + k.String()).Inc(1) },
 	})
 	for _, k := range quota.Kinds() {
@@ -341,7 +344,7 @@
 		defer cancel()
 		n.stopAccepting(ctx)
 		n.awaitRequests(ctx)
-		if n.callers.count() > 0 {
+		if n.callers.Busy() > 0 {
 			n.abort()
 			ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 			defer cancel()
@@ -356,7 +359,7 @@
 // is idle for a moment.
 func (n *Node) awaitRequests(ctx context.Context) {
 	for quiet := 0; quiet < quietPolls && ctx.Err() == nil; quiet++ {
-		if n.callers.count() > 0 || n.exit.Running() > 0 {
+		if n.callers.Busy() > 0 || n.exit.Running() > 0 {
 			quiet = -1
 		}
 		mono.Sleep(ctx, drainPollInterval)
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -11,6 +11,7 @@
 	"github.com/samber/oops"
 
 	"github.com/cicadahall/cicadahall/event"
+	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/conns"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/wire/pipe"
@@ -32,8 +33,9 @@
 type port struct {
 	name      string
 	address   string
-	newServer func() httpServer
-	// wrap returns the listener to serve; nil means the listener itself.
+	newServer func(state connState) httpServer
+	gate      *accept.Gate
+	// wrap returns the listener to serve.
 	wrap func(net.Listener) net.Listener
 	// initial is the listener opened by New; it is nil after the first Run.
 	initial net.Listener
@@ -43,16 +45,26 @@
 	stopped  atomic.Bool
 }
 
+// connState is the ConnState function of a server.
+type connState func(net.Conn, http.ConnState)
+
 // httpServer serves the connections of a listener.
 type httpServer struct {
 	serve func(net.Listener) error
 	close func() error
 }
 
-func serverOf(s *http.Server) httpServer { return httpServer{serve: s.Serve, close: s.Close} }
+func serverOf(s *http.Server, state connState) httpServer {
+	s.ConnState = state
+	return httpServer{serve: s.Serve, close: s.Close}
+}
 
-// callersPort is the name of the callers' port.
-const callersPort = "callers"
+// callersPort and peersPort are the names of the ports for callers and for other
+// nodes.
+const (
+	callersPort = "callers"
+	peersPort   = "peers"
+)
 
 // stopListening closes the listener. Requests on open connections are served
 // until the end of Run.
@@ -68,20 +80,22 @@
 	configs := []struct {
 		name, address string
 		optional      bool
-		newServer     func() httpServer
+		newServer     func(state connState) httpServer
 	}{
-		{"peers", l.Peers, false, func() httpServer {
-			return serverOf(peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes, Quota: n.quota}))
+		{peersPort, l.Peers, false, func(state connState) httpServer {
+			return serverOf(peer.NewServer(&handler{node: n}, peer.Options{MaxBodyBytes: maxBodyBytes, Quota: n.quota}), state)
 		}},
-		{"admin", l.Admin, true, func() httpServer { return serverOf(newHTTPServer(n.adminHandler())) }},
-		{"beats", l.Beats, false, func() httpServer {
+		{"admin", l.Admin, true, func(state connState) httpServer { return serverOf(newHTTPServer(n.adminHandler()), state) }},
+		{"beats", l.Beats, false, func(state connState) httpServer {
 			return serverOf(newHTTPServer(platform.HeartbeatHandler(platform.HeartbeatHandlers{
 				OnHeartbeat: n.upstream.handleBeat,
 				OnDeparture: n.upstream.handleDeparture,
 				OnInvalid:   n.upstream.rejectMessage,
-			})))
+			})), state)
+		}},
+		{"ready", l.Ready, false, func(state connState) httpServer {
+			return serverOf(newHTTPServer(platform.ReadyHandler(n.ready)), state)
 		}},
-		{"ready", l.Ready, false, func() httpServer { return serverOf(newHTTPServer(platform.ReadyHandler(n.ready))) }},
 		{callersPort, l.Callers, false, n.newCallersServer},
 	}
 	for _, p := range configs {
@@ -101,9 +115,10 @@
 			}
 			return oops.With("step", "listen", "peer", p.address).Wrap(err)
 		}
-		opened := &port{name: p.name, address: p.address, newServer: p.newServer, initial: listener}
+		gate := n.newGate(p.name, p.address)
+		opened := &port{name: p.name, address: p.address, gate: gate, newServer: p.newServer, initial: listener, wrap: gate.ListenPlain}
 		if p.name == callersPort {
-			opened.wrap = n.callers.listen
+			n.callers, opened.wrap = gate, gate.Listen
 		}
 		n.ports = append(n.ports, opened)
 	}
@@ -121,20 +136,12 @@
 
 // newCallersServer returns the server of the callers' port. The requests of one
 // connection run one after the other unless the settings allow more.
-func (n *Node) newCallersServer() httpServer {
+func (n *Node) newCallersServer(state connState) httpServer {
+	// The gate sets the limits and the time-outs of the configuration.
 	if n.settings.Pipelined <= 1 {
-		s := newHTTPServer(n.frontend)
-		s.ConnState = n.callers.recordState
-		return serverOf(s)
-	}
-	s := &pipe.Server{
-		Handler:           n.frontend,
-		ConnState:         n.callers.recordState,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		MaxConcurrent:     n.settings.Pipelined,
+		return serverOf(&http.Server{Handler: n.frontend, MaxHeaderBytes: maxCallerHeaderBytes}, state)
 	}
+	s := &pipe.Server{Handler: n.frontend, ConnState: state, MaxHeaderBytes: maxCallerHeaderBytes, MaxConcurrent: n.settings.Pipelined}
 	return httpServer{serve: s.Serve, close: s.Close}
 }
 
@@ -148,11 +155,9 @@
 			return oops.With("step", "listen", "peer", p.address).Wrap(err)
 		}
 	}
-	s := p.newServer()
+	s := p.newServer(p.gate.RecordState)
 	p.listener.Store(&listener)
-	if p.wrap != nil {
-		listener = p.wrap(listener)
-	}
+	listener = p.wrap(listener)
 	failed := make(chan error, 1)
 	go func() { failed <- s.serve(listener) }()
 	ready()
--- a/internal/wire/pipe/conn.go
+++ b/internal/wire/pipe/conn.go
@@ -133,7 +133,7 @@
 	}
 	c.waiting = true
 	c.setIdleDeadline()
-	if c.running == 0 {
+	if c.running == 0 && c.sequence > 0 {
 		c.server.setState(c.rwc, http.StateIdle)
 	}
 	c.mu.Unlock()
@@ -142,11 +142,7 @@
 	defer c.mu.Unlock()
 	c.waiting = false
 	if err != nil {
-		if !c.closing {
-			// The client has closed the connection or was idle for too long.
-			c.cancel()
-		}
-		return false
+		return c.endInput(err)
 	}
 	if c.running == 0 {
 		c.server.setState(c.rwc, http.StateActive)
@@ -157,6 +153,34 @@
 	return !c.closing
 }
 
+// endInput handles an error of the wait for a request; it returns false. Requests
+// that run are answered, unless the client has closed the connection. The caller
+// must hold mu.
+func (c *conn) endInput(err error) bool {
+	switch {
+	case c.closing || errors.Is(err, os.ErrDeadlineExceeded):
+	case isInvalid(err):
+		c.mu.Unlock()
+		c.reject(c.statusOf(err))
+		c.mu.Lock()
+	default:
+		c.cancel()
+	}
+	return false
+}
+
+// StatusError is an error of a connection's Read for bytes that are no request.
+// Status is the status of the response to them.
+type StatusError interface {
+	error
+	Status() int
+}
+
+func isInvalid(err error) bool {
+	var invalid StatusError
+	return errors.As(err, &invalid)
+}
+
 func (c *conn) maxHeaderBytes() int64 {
 	if c.server.MaxHeaderBytes > 0 {
 		// As in net/http, the buffer may hold the beginning of the body.
@@ -210,7 +234,10 @@
 // has gone.
 func (c *conn) statusOf(err error) int {
 	var timeout net.Error
+	var invalid StatusError
 	switch {
+	case errors.As(err, &invalid):
+		return invalid.Status()
 	case c.in.exceeded:
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &timeout) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && c.in.remaining > 0 || errors.Is(err, net.ErrClosed):
--- a/internal/wire/pipe/exchange.go
+++ b/internal/wire/pipe/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -50,6 +49,13 @@
 // stays open for further requests, as in net/http.
 const maxDiscardedBytes = 256 << 10
 
+// discardTimeout bounds the time in which the rest of a body is discarded.
+const discardTimeout = 3 * time.Second
+
+// maxJoinedBytes bounds the part of a body that is copied to be written together
+// with the head.
+const maxJoinedBytes = 16 << 10
+
 func newExchange(c *conn, req *http.Request, sequence uint64, previous <-chan struct{}) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
 	e := &exchange{
@@ -190,7 +196,7 @@
 		e.endBody(false) // the client may or may not send the body
 		return
 	}
-	_ = e.SetReadDeadline(time.Now().Add(e.conn.server.ReadHeaderTimeout))
+	_ = e.SetReadDeadline(time.Now().Add(discardTimeout))
 	n, err := io.CopyN(io.Discard, e.request.Body, maxDiscardedBytes+1)
 	e.endBody(errors.Is(err, io.EOF) && n <= maxDiscardedBytes)
 }
@@ -226,9 +232,11 @@
 		e.write(p)
 	case len(p) == 0:
 		e.write(head)
-	case e.err == nil:
-		parts := net.Buffers{head, p}
-		_, e.err = parts.WriteTo(e.conn.rwc)
+	case len(p) <= maxJoinedBytes:
+		e.write(append(head, p...))
+	default:
+		e.write(head)
+		e.write(p)
 	}
 }
 
