admit, entry, fleet: reserve slots for calls; keep the objective of their routes

An upstream keeps as many slots for calls as they have used on average, at most half. A call passes the queue, and after a refusal for lack of a slot it may queue at once.

Also: the pipelining server supports EnableFullDuplex and Flush, which responses before a body need; package accept moves to internal/wire.

--- a/admit/leastcost.go
+++ b/admit/leastcost.go
@@ -33,9 +33,8 @@
 // each priority.
 func (g *SlotLimiter) Flows() int { return g.share.Len() }
 
-// takeNext removes the queued request that starts next from the queue.
-func (g *SlotLimiter) takeNext(now time.Time) Request {
-	index := g.first(now)
+// takeAt removes the queued request that starts next from the queue.
+func (g *SlotLimiter) takeAt(index int) Request {
 	g.queue.items[index].flow.Start(g.queue.items[index].work)
 	return g.queue.removeAt(index)
 }
@@ -86,6 +85,10 @@
 
 func (g *SlotLimiter) costOf(w queuedRequest, now time.Time) cost.Request {
 	t := w.request
+	if t.Priority <= CallPriority {
+		// The run that makes the call waits for it until the deadline.
+		t.Objective = t.Deadline
+	}
 	return cost.Request{
 		Priority:  t.Priority,
 		Arrived:   w.arrived,
--- a/admit/slotlimiter.go
+++ b/admit/slotlimiter.go
@@ -29,6 +29,7 @@
 	// caller stopped waiting.
 	untracked    int
 	untrackedAt  time.Time
+	calls        callReserve
 	coldStart    coldBucket
 	serviceTimes map[ident.Route]time.Duration
 	// objectives holds the longest objective seen on each route without a
@@ -46,6 +47,7 @@
 	route     ident.Route
 	// slowdown is the slowdown in percent when the request started.
 	slowdown int
+	call     bool
 }
 
 // LoadReport is the state that an upstream reports about itself.
@@ -169,7 +171,7 @@
 	g.recordObjective(t, now)
 	expected := g.expectedServiceTime(t, now)
 	left := t.Deadline.Sub(now)
-	room := g.queue.len() == 0 && g.hasRoom(now)
+	room := (g.queue.len() == 0 || g.passesQueue(t)) && g.hasRoom(t, now)
 	switch {
 	case g.draining:
 		return Decision{Reason: Draining}
@@ -206,12 +208,16 @@
 
 func (g *SlotLimiter) queueFull() bool { return g.queue.len() >= g.options.MaxQueued }
 
-// hasRoom reports whether the upstream has a free slot.
-func (g *SlotLimiter) hasRoom(now time.Time) bool {
+// hasRoom reports whether the upstream has a free slot for t, that is, one that
+// isn't reserved for calls.
+func (g *SlotLimiter) hasRoom(t Request, now time.Time) bool {
 	used := len(g.running)
 	if now.Sub(g.untrackedAt) <= untrackedTTL {
 		used += g.untracked
 	}
+	if t.Priority > CallPriority {
+		used += g.calls.unused(g.slots, now)
+	}
 	return used < g.slots
 }
 
@@ -313,6 +319,9 @@
 		return
 	}
 	delete(g.running, id)
+	if request.call {
+		g.calls.add(-1, now)
+	}
 	if r == Done {
 		g.learnServiceTime(request, now)
 	}
@@ -353,12 +362,16 @@
 // a free slot. It stops when a cold upstream may start no more requests now, and
 // expires queued requests that can't end by their deadline any more.
 func (g *SlotLimiter) startQueued(now time.Time) {
-	for g.queue.len() > 0 && g.hasRoom(now) && !g.draining {
+	for g.queue.len() > 0 && !g.draining {
 		g.expireLate(now)
-		if g.queue.len() == 0 || !g.coldStart.take(now) {
+		if g.queue.len() == 0 {
 			return
 		}
-		t := g.takeNext(now)
+		next := g.first(now)
+		if !g.hasRoom(g.queue.items[next].request, now) || !g.coldStart.take(now) {
+			return
+		}
+		t := g.takeAt(next)
 		g.markRunning(t, now)
 		g.options.Start(t, now)
 	}
@@ -372,7 +385,11 @@
 }
 
 func (g *SlotLimiter) markRunning(t Request, now time.Time) {
-	g.running[t.ID] = runningRequest{startedAt: now, route: t.Route, slowdown: g.slowdown(now)}
+	call := t.Priority <= CallPriority
+	if call {
+		g.calls.add(1, now)
+	}
+	g.running[t.ID] = runningRequest{startedAt: now, route: t.Route, slowdown: g.slowdown(now), call: call}
 }
 
 // Idle reports whether no request runs.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -58,7 +58,7 @@
 	Version  Name = "version"
 
 	Workspace Name = "workspace"
-	Window   Name = "window"
+	Window    Name = "window"
 )
 
 // Kind is the catalogue entry of one event code.
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadahall/cicadahall/admit"
 	"github.com/cicadahall/cicadahall/choose"
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/fence"
@@ -122,7 +123,12 @@
 		if action.Pause > 0 {
 			mono.Sleep(ctx, action.Pause)
 		}
-		if p.send(ctx, action.MayQueue) || p.outstanding > 0 {
+		// Where all slots are taken, a call may queue: it goes before the requests
+		// that are queued there, and more refusals would only delay the run that
+		// waits for it.
+		isFull := p.last.response.GetReason() == wirepb.Reason_REASON_FULL
+		mayQueue := action.MayQueue || isFull && p.request.priority <= admit.CallPriority
+		if p.send(ctx, mayQueue) || p.outstanding > 0 {
 			return nil
 		}
 		if p.failure != nil {
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -10,11 +10,6 @@
 	"github.com/cicadahall/cicadahall/route"
 )
 
-// callPriority goes before the priorities of all routes. A call that waits holds
-// the slot of the run that makes it, and a call that fails wastes what that run
-// has cost.
-const callPriority = -1
-
 // callDetector recognizes the calls of the upstream beside the node.
 type callDetector struct {
 	node     *Node
@@ -41,17 +36,16 @@
 	cd.detector.RecordEnd(mono.Now())
 }
 
-// priority returns the rank of a request on a route.
-func (cd *callDetector) priority(rule route.Rule, rank int) int {
+// isCall records a request on a route and reports whether it is a call.
+func (cd *callDetector) isCall(rule route.Rule) bool {
 	if cd.node.settings.Calls != spec.CallsFirst {
-		return rank
+		return false
 	}
 	cd.mu.Lock()
-	called := cd.detector.RecordArrival(rule.Name, mono.Now())
-	cd.mu.Unlock()
-	if !called {
-		return rank
+	defer cd.mu.Unlock()
+	if !cd.detector.RecordArrival(rule.Name, mono.Now()) {
+		return false
 	}
 	cd.node.counter("front.calls").Inc(1)
-	return callPriority
+	return true
 }
--- a/internal/fleet/conns.go
+++ b/internal/fleet/conns.go
@@ -6,9 +6,9 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/cicadahall/cicadahall/event"
-	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/control/intake"
 	"github.com/cicadahall/cicadahall/internal/control/quota"
+	"github.com/cicadahall/cicadahall/internal/wire/accept"
 )
 
 const (
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,7 +27,6 @@
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
-	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/admin"
 	"github.com/cicadahall/cicadahall/internal/control/intake"
 	"github.com/cicadahall/cicadahall/internal/control/quota"
@@ -37,6 +36,7 @@
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/spec"
 	"github.com/cicadahall/cicadahall/internal/super"
+	"github.com/cicadahall/cicadahall/internal/wire/accept"
 	"github.com/cicadahall/cicadahall/platform"
 	"github.com/cicadahall/cicadahall/retry"
 )
--- a/internal/fleet/frontend.go
+++ b/internal/fleet/frontend.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadahall/cicadahall/admit"
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/ident"
 	"github.com/cicadahall/cicadahall/internal/call"
@@ -167,13 +168,16 @@
 		MaxAttempts: q.rule.MaxAttempts,
 		Timeout:     timeout,
 		Objective:   q.rule.Objective - time.Since(q.startedAt),
-		Priority:    f.node.calls.priority(q.rule, q.grant.Priority(q.rule.Priority)),
+		Priority:    q.grant.Priority(q.rule.Priority),
 		Host:        r.Host,
 		Method:      r.Method,
 		Path:        r.RequestURI,
 		Header:      r.Header,
 		Body:        body,
 	}
+	if f.node.calls.isCall(q.rule) {
+		req.Priority = admit.CallPriority
+	}
 	ctx, cancel := context.WithCancel(quota.NewContext(r.Context(), q.lease))
 	defer cancel()
 	defer context.AfterFunc(f.node.aborted, cancel)()
--- a/internal/fleet/port.go
+++ b/internal/fleet/port.go
@@ -11,9 +11,9 @@
 	"github.com/samber/oops"
 
 	"github.com/cicadahall/cicadahall/event"
-	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/conns"
 	"github.com/cicadahall/cicadahall/internal/peer"
+	"github.com/cicadahall/cicadahall/internal/wire/accept"
 	"github.com/cicadahall/cicadahall/internal/wire/pipe"
 	"github.com/cicadahall/cicadahall/platform"
 )
--- a/internal/accept/accept_test.go
+++ b/internal/wire/accept/accept_test.go
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cicadahall/cicadahall/internal/accept"
 	"github.com/cicadahall/cicadahall/internal/control/intake"
+	"github.com/cicadahall/cicadahall/internal/wire/accept"
 )
 
 var limits = accept.Limits{HeadBytes: 1 << 10, HeadTimeout: time.Minute, IdleTimeout: time.Minute}
--- a/internal/wire/pipe/exchange.go
+++ b/internal/wire/pipe/exchange.go
@@ -40,6 +40,8 @@
 	closes   bool
 	chunked  bool
 	bodyless bool
+	// duplex is set if the response may be written before the body is read.
+	duplex bool
 	// continued is set once the client was told to send the body.
 	continued bool
 	err       error
@@ -80,6 +82,14 @@
 
 func (b *requestBody) Read(p []byte) (int, error) {
 	e := b.exchange
+	select {
+	case <-e.bodyDone:
+		if e.unread {
+			return 0, http.ErrBodyReadAfterClose
+		}
+		return 0, io.EOF
+	default:
+	}
 	if !e.continued && !e.wroteHead && strings.EqualFold(e.request.Header.Get("Expect"), "100-continue") {
 		e.continued = true
 		<-e.previous
@@ -196,6 +206,9 @@
 		e.endBody(false) // the client may or may not send the body
 		return
 	}
+	if e.duplex {
+		return
+	}
 	_ = e.SetReadDeadline(time.Now().Add(discardTimeout))
 	n, err := io.CopyN(io.Discard, e.request.Body, maxDiscardedBytes+1)
 	e.endBody(errors.Is(err, io.EOF) && n <= maxDiscardedBytes)
@@ -246,6 +259,19 @@
 	}
 }
 
+// EnableFullDuplex lets the response be written before the body is read; see
+// http.ResponseController.
+func (e *exchange) EnableFullDuplex() error {
+	e.duplex = true
+	return nil
+}
+
+// Flush writes what the handler has written so far.
+func (e *exchange) Flush() {
+	e.WriteHeader(http.StatusOK)
+	e.flushHead(nil)
+}
+
 // SetReadDeadline sets the deadline of reading the request's body; see
 // http.ResponseController. It has no effect once the body is read, since the next
 // request has deadlines of its own.
