--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -130,6 +130,7 @@
 	n.upstream = newUpstream(n)
 	n.calls = newCallDetector(n)
 	n.exit = n.newExit()
+	metrics.NewRegisteredFunctionalGauge("exit.displaced", n.metrics, func() int64 { return int64(n.exit.Displaced()) })
 	n.entry = n.newEntry()
 	n.frontend = newFrontend(n)
 	if err := n.openPorts(); err != nil {
--- a/internal/wire/pipe/exchange.go
+++ b/internal/wire/pipe/exchange.go
@@ -34,8 +34,8 @@
 
 	header    http.Header
 	wroteHead bool
-	// head is the head of the response until it is written, together with the
-	// first part of the body.
+	// head is the part of the response that isn't written yet: its head and the
+	// first bytes of a short body.
 	head     []byte
 	closes   bool
 	chunked  bool
@@ -54,6 +54,11 @@
 // discardTimeout bounds the time in which the rest of a body is discarded.
 const discardTimeout = 3 * time.Second
 
+// maxHeldBytes is the size up to which a response is written only once the handler
+// has returned, as in net/http. The client can't send its next request before the
+// handler has released the memory of this one.
+const maxHeldBytes = 4 << 10
+
 // maxJoinedBytes bounds the part of a body that is copied to be written together
 // with the head.
 const maxJoinedBytes = 16 << 10
@@ -227,6 +232,8 @@
 		e.flushHead(fmt.Appendf(nil, "%x\r\n", len(p)))
 		e.write(p)
 		e.write([]byte("\r\n"))
+	} else if len(e.head)+len(p) <= maxHeldBytes {
+		e.head = append(e.head, p...)
 	} else {
 		e.flushHead(p)
 	}
@@ -236,7 +243,7 @@
 	return len(p), nil
 }
 
-// flushHead writes the head, if it isn't written yet, and p in one call.
+// flushHead writes the part of the response that is held back, then p.
 func (e *exchange) flushHead(p []byte) {
 	head := e.head
 	e.head = nil
--- a/internal/wire/pipe/pipe_test.go
+++ b/internal/wire/pipe/pipe_test.go
@@ -284,3 +284,23 @@
 		assert.Assert(t, state == http.StateIdle)
 	}
 }
+
+// Guards against a client that sees its response before the handler has returned
+// and released the memory of the request: the next one is then refused.
+func TestShortResponseFollowsHandler(t *testing.T) {
+	returned := make(chan struct{})
+	c, r := dial(t, &pipe.Server{MaxConcurrent: 2, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "ab")
+		time.Sleep(50 * time.Millisecond)
+		close(returned)
+	})})
+	send(t, c, get("/1"))
+	_, body := receive(t, r)
+	assert.Equal(t, body, "ab")
+	select {
+	case <-returned:
+	default:
+		t.Fatal("the response was written before the handler returned")
+	}
+}
