pipe, fleet: end unread responses at a stop; 0.7 s for the end of the process

A handler that woke at the stop gave its response a new write deadline, for which the server then waited, and 0.3 s are short for closing some hundred connections.

After an abort, deadlines stay in the past.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -314,8 +314,9 @@
 	// after two failed checks.
 	drainDelay = 3 * time.Second
 	// killMargin is the time reserved before the hosting platform kills the
-	// process.
-	killMargin = 300 * time.Millisecond
+	// process. With 300 ms, a process with some hundred open connections was
+	// still closing them at the end of the grace period.
+	killMargin = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks for requests in progress
 	// while the node drains.
 	drainPollInterval = 20 * time.Millisecond
--- a/internal/wire/pipe/conn.go
+++ b/internal/wire/pipe/conn.go
@@ -48,8 +48,9 @@
 	waiting bool
 	// watching is set while the reader only detects that the client leaves.
 	watching bool
-	// closing is set once no further request is read.
-	closing bool
+	// closing is set once no further request is read, aborted once the connection
+	// ends without waiting for responses.
+	closing, aborted bool
 }
 
 // limitedReader bounds the bytes that are read for one request head. An endless
@@ -354,13 +355,23 @@
 	return sequence == c.sequence, c.closing
 }
 
+// setDeadline calls set, unless the connection was aborted: a handler must not
+// replace the deadline that ends its reads and writes.
+func (c *conn) setDeadline(set func(time.Time) error, deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted {
+		return net.ErrClosed
+	}
+	return set(deadline)
+}
+
 // abort ends the connection without waiting for responses.
 func (c *conn) abort() {
 	c.cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
-	past := time.Unix(1, 0)
-	_ = c.rwc.SetDeadline(past) // fails only on a closed connection
+	c.closing, c.aborted = true, true
+	_ = c.rwc.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	c.changed.Broadcast()
 }
--- a/internal/wire/pipe/exchange.go
+++ b/internal/wire/pipe/exchange.go
@@ -287,7 +287,7 @@
 	case <-e.bodyDone:
 		return nil
 	default:
-		return e.conn.rwc.SetReadDeadline(deadline)
+		return e.conn.setDeadline(e.conn.rwc.SetReadDeadline, deadline)
 	}
 }
 
@@ -296,5 +296,5 @@
 // deadlines it must not change.
 func (e *exchange) SetWriteDeadline(deadline time.Time) error {
 	<-e.previous
-	return e.conn.rwc.SetWriteDeadline(deadline)
+	return e.conn.setDeadline(e.conn.rwc.SetWriteDeadline, deadline)
 }
--- a/internal/wire/pipe/pipe_test.go
+++ b/internal/wire/pipe/pipe_test.go
@@ -304,3 +304,28 @@
 		t.Fatal("the response was written before the handler returned")
 	}
 }
+
+// Guards against a server whose Close waits for a client that reads nothing,
+// because the handler sets a new deadline for its response.
+func TestCloseEndsUnreadResponses(t *testing.T) {
+	started := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &pipe.Server{MaxConcurrent: 2, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Hour))
+		for range 1000 {
+			_, _ = w.Write(make([]byte, 1<<20))
+		}
+	})}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	send(t, c, get("/1"))
+	<-started
+	assert.NilError(t, s.Close())
+	assert.ErrorIs(t, <-ended, http.ErrServerClosed)
+}
