--- a/internal/wire/pipe/exchange.go
+++ b/internal/wire/pipe/exchange.go
@@ -228,13 +228,14 @@
 	if len(p) == 0 {
 		return 0, e.err
 	}
-	if e.chunked {
+	switch {
+	case e.chunked:
 		e.flushHead(fmt.Appendf(nil, "%x\r\n", len(p)))
 		e.write(p)
 		e.write([]byte("\r\n"))
-	} else if len(e.head)+len(p) <= maxHeldBytes {
+	case len(e.head)+len(p) <= maxHeldBytes:
 		e.head = append(e.head, p...)
-	} else {
+	default:
 		e.flushHead(p)
 	}
 	if e.err != nil {
