review/6: pipelined requests with legal heads take a node over its memory

The gate charges a connection for its latest head only, while eight pipelined requests with large heads may be in progress on it. In the script 150 clients with heads of at most 16 KiB take a node from 76 MB (usual heads) over 284 MB within 0.7 s; two nodes are killed three times each.

--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -21,6 +21,7 @@
 // cases are the scripts by name. Each reports how often the rule was broken.
 var cases = map[string]func(r *record, trouble bool) (broken int, err error){
 	"leaving":    playLeaving,
+	"heads":      playHeads,
 	"turnedaway": playTurnedAway,
 }
 
