reply: reject responses whose status is none

An upstream in trouble answered with the status 000. The public interface passed it on as the answer; on the users' platform the caller waited until its deadline. From the store, such an answer to a transaction counted as refused although it proves nothing, and a usage report that got one was never sent again. Statuses from 600 on, and 101, which no request asks for, were passed on as well.

Cause: http.ReadResponse accepts any three digits as a status. conns took everything below 200 for an interim response and waited for the next one; the other readers compared the status with those that they know.

reply.Check accepts interim statuses, and final ones from 200 to 599 (RFC 9110, section 15). conns calls it for each response, and reply.Transport for all readers that use net/http. The response of another node that carries an upstream's with a malformed status becomes an unknown outcome, since the node may be of an earlier release. The request ends at once: with a 502 or with another attempt if it may be repeated.

Three stand-ins of internal/peer's tests returned responses of upstreams without a status, which no exit does; they have the status 200 now.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -361,7 +361,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.Status < http.StatusOK && resp.Status != http.StatusSwitchingProtocols {
+		if resp.Status < http.StatusOK {
 			continue
 		}
 		if e.match(resp.Header) {
@@ -410,9 +410,7 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	// The limit leaves room for the frames of chunks and for trailers.
-	e.conn.source.N = 2*e.pool.opts.MaxBodyBytes + maxHeadBytes
-	body, err := e.pool.readBody(e.lease, resp)
+	body, err := e.checkAndReadBody(resp)
 	if err != nil {
 		// Otherwise closing the body reads it to its end.
 		_ = e.conn.Close()
@@ -430,6 +428,16 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: e.reused}, nil
 }
 
+// checkAndReadBody checks a response's head and reads its body.
+func (e *exchange) checkAndReadBody(resp *http.Response) ([]byte, error) {
+	// The limit leaves room for the frames of chunks and for trailers.
+	e.conn.source.N = 2*e.pool.opts.MaxBodyBytes + maxHeadBytes
+	if err := reply.Check(resp); err != nil {
+		return nil, err
+	}
+	return e.pool.readBody(e.lease, resp)
+}
+
 // readBody reads a body within the limits of one body and of all bodies that
 // the pool reads at the same time, and within the lease.
 func (p *Pool) readBody(l *quota.Lease, resp *http.Response) ([]byte, error) {
--- /dev/null
+++ b/internal/conns/malformed_test.go
@@ -0,0 +1,48 @@
+package conns_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadahall/cicadahall/internal/conns"
+	"github.com/cicadahall/cicadahall/internal/stand"
+)
+
+// exchange sends a request to an upstream that writes text in place of a
+// response and leaves the connection open.
+func exchange(t *testing.T, text string) (*conns.Response, error) {
+	s := httptest.NewServer(stand.RawResponse{Text: func(*http.Request) string { return text }})
+	defer s.Close()
+	p := conns.New(conns.Options{MaxBodyBytes: 100})
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	req := &conns.Request{Method: http.MethodGet, Path: "/", Host: "h", Header: http.Header{"Id": {"1"}}}
+	resp, err := p.Do(ctx, s.Listener.Addr().String(), req, func(h http.Header) bool { return h.Get("Id") == "1" })
+	assert.NilError(t, ctx.Err(), "the exchange lasted until its deadline")
+	return resp, err
+}
+
+// Guards against a response whose status is none, which was skipped as an
+// interim response or returned, and against waiting for another one.
+func TestMalformedStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "+20", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			resp, err := exchange(t, "HTTP/1.1 "+status+" Odd\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole")
+			var failure *conns.Error
+			assert.Assert(t, errors.As(err, &failure), "%+v", resp)
+			assert.Assert(t, failure.Sent)
+		})
+	}
+	for _, status := range []string{"200", "299", "404", "599"} {
+		resp, err := exchange(t, "HTTP/1.1 "+status+" Known\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole")
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Body), "whole")
+	}
+}
--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -41,3 +41,13 @@
 	assert.Equal(t, resp.GetOutcome(), wirepb.Outcome_OUTCOME_RAN)
 	assert.Equal(t, string(resp.GetBody()), "whole")
 }
+
+// Guards against a response whose status is none and that is taken for one.
+func TestMalformedStatusIsUnknown(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		h := rawHarness(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 5\r\n\r\nwhole", stand.Finished)
+		outcome, reason := h.call(t, h.newRequest(""))
+		assert.Equal(t, outcome, unknown, status)
+		assert.Equal(t, reason, wirepb.Reason_REASON_BROKEN)
+	}
+}
--- a/internal/fleet/broken_test.go
+++ b/internal/fleet/broken_test.go
@@ -37,3 +37,31 @@
 	}
 	assert.Equal(t, complete, 0, "truncated responses reached the caller")
 }
+
+// newBrokenCluster starts two nodes whose upstreams write text in place of a
+// response to requests that run once.
+func newBrokenCluster(t *testing.T, text func(r *http.Request) string) *cluster {
+	broken := stand.RawResponse{Text: text}
+	return newCluster(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/book/") {
+			broken.ServeHTTP(w, r)
+			return
+		}
+		serveSlowly(w, r)
+	})
+}
+
+// Guards against a response whose status is none and that reaches a caller, or
+// keeps it waiting until its deadline for another one.
+func TestMalformedStatusReachesNoCaller(t *testing.T) {
+	c := newBrokenCluster(t, func(r *http.Request) string {
+		return strings.Replace(signedHead(r), "200", r.URL.Query().Get("status"), 1) + "Content-Length: 5\r\n\r\nwhole"
+	})
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for range 4 {
+			a := c.send(c.nodes[0], http.MethodPost, "/book/x?status="+status)
+			assert.Equal(t, a.status, http.StatusBadGateway, "%s: body %q", status, a.body)
+		}
+	}
+	assert.Equal(t, c.send(c.nodes[0], http.MethodPost, "/book/x?status=299").body, "whole")
+}
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -46,3 +47,51 @@
 	}
 	assert.Equal(t, complete, 0, "of %d truncated responses", uploads)
 }
+
+// nodeOf returns the address of a node that responds to every call and query
+// with a message.
+func nodeOf(t *testing.T, m *wirepb.CallResponse) string {
+	return listen(t, peer.NewServer(&fixedExit{response: m}, peer.Options{MaxBodyBytes: 1 << 10}).Handler)
+}
+
+// fixedExit returns the same response to everything.
+type fixedExit struct {
+	wirepb.UnimplementedPeerHandler
+	response *wirepb.CallResponse
+}
+
+func (e *fixedExit) Call(context.Context, *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	return e.response, nil
+}
+
+func (e *fixedExit) Resolve(context.Context, *wirepb.ResolveRequest) (*wirepb.CallResponse, error) {
+	return e.response, nil
+}
+
+// callAndResolve returns a node's responses to a call and to a query.
+func callAndResolve(t *testing.T, address string) []*wirepb.CallResponse {
+	p := peer.NewPool(peer.Options{MaxBodyBytes: 1 << 10})
+	defer p.Close()
+	called, err := p.Call(t.Context(), address, &wirepb.CallRequest{Id: []byte("id"), DeadlineNanos: inOneMinute()}, func() {})
+	assert.NilError(t, err)
+	resolved, err := p.Resolve(t.Context(), address, &wirepb.ResolveRequest{Id: []byte("id"), DeadlineNanos: inOneMinute()})
+	assert.NilError(t, err)
+	return []*wirepb.CallResponse{called, resolved}
+}
+
+// Guards against passing on an upstream's response whose status is none, from a
+// node that doesn't check it.
+func TestMalformedStatusIsUnknown(t *testing.T) {
+	for _, status := range []int32{-1, 0, 99, 100, 101, 600, 1000} {
+		address := nodeOf(t, &wirepb.CallResponse{Id: []byte("id"), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: status, Body: []byte("odd")})
+		for _, resp := range callAndResolve(t, address) {
+			assert.Equal(t, resp.GetOutcome(), wirepb.Outcome_OUTCOME_UNKNOWN, "status %d", status)
+			assert.Equal(t, resp.GetReason(), wirepb.Reason_REASON_BROKEN)
+			assert.Equal(t, string(resp.GetId()), "id")
+		}
+	}
+	address := nodeOf(t, &wirepb.CallResponse{Id: []byte("id"), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: http.StatusTeapot})
+	for _, resp := range callAndResolve(t, address) {
+		assert.Equal(t, resp.GetStatus(), int32(http.StatusTeapot))
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/cicadahall/cicadahall/internal/control/quota"
+	"github.com/cicadahall/cicadahall/internal/wire/reply"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -95,7 +96,7 @@
 
 // exchange sends a message and a body as a frame and returns the response. It
 // charges the response to the lease of ctx.
-func (p *Pool) exchange(ctx context.Context, t *http.Transport, url string, m proto.Message, body []byte) (*wirepb.CallResponse, error) {
+func (p *Pool) exchange(ctx context.Context, t *reply.Transport, url string, m proto.Message, body []byte) (*wirepb.CallResponse, error) {
 	head, err := encodeHead(m)
 	if err != nil {
 		return nil, err
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -38,13 +38,14 @@
 	return &wirepb.CallResponse{
 		Id:      req.GetId(),
 		Outcome: wirepb.Outcome_OUTCOME_RAN,
+		Status:  http.StatusOK,
 		Headers: []*wirepb.Header{{Name: "Message", Values: []string{strings.ToValidUTF8(string(encoded), "?")}}},
 		Body:    body,
 	}, nil
 }
 
 func (e *echoExit) Resolve(_ context.Context, req *wirepb.ResolveRequest) (*wirepb.CallResponse, error) {
-	return &wirepb.CallResponse{Id: req.GetId(), Outcome: wirepb.Outcome_OUTCOME_RAN, Body: []byte("stored")}, nil
+	return &wirepb.CallResponse{Id: req.GetId(), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: http.StatusOK, Body: []byte("stored")}, nil
 }
 
 func listen(t *testing.T, h http.Handler) string {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 
 func (e *blockingExit) Call(_ context.Context, req *wirepb.CallRequest) (*wirepb.CallResponse, error) {
 	<-e.release
-	return &wirepb.CallResponse{Id: req.GetId(), Outcome: wirepb.Outcome_OUTCOME_RAN, Body: []byte("whole")}, nil
+	return &wirepb.CallResponse{Id: req.GetId(), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: http.StatusOK, Body: []byte("whole")}, nil
 }
 
 func serve(t *testing.T, e *blockingExit) string {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -63,7 +63,7 @@
 
 // peerConn holds the connections to one peer.
 type peerConn struct {
-	transport *http.Transport
+	transport *reply.Transport
 	// control compresses the messages that it sends: work counts make up half
 	// of a node's control traffic. plain sends requests uncompressed for low
 	// latency.
@@ -88,12 +88,12 @@
 }
 
 // client returns a client that uses transport t.
-func (p *Pool) client(t *http.Transport, address string, opts ...connect.ClientOption) wirepb.PeerClient {
+func (p *Pool) client(t *reply.Transport, address string, opts ...connect.ClientOption) wirepb.PeerClient {
 	opts = append(opts, connect.WithReadMaxBytes(int(p.opts.MaxBodyBytes)+messageOverhead))
 	return wirepb.NewPeerClient(&http.Client{Transport: t}, "http://"+address, opts...)
 }
 
-func newTransport() *http.Transport {
+func newTransport() *reply.Transport {
 	return reply.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConns,
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, oops.With("step", "call", "peer", address).Wrap(err)
 	}
-	return resp, nil
+	return checked(resp), nil
 }
 
 func (p *Pool) call(ctx context.Context, pc *peerConn, address string, req *wirepb.CallRequest) (*wirepb.CallResponse, error) {
@@ -187,7 +187,17 @@
 	if err != nil {
 		return nil, oops.With("step", "resolve", "peer", address).Wrap(err)
 	}
-	return resp, nil
+	return checked(resp), nil
+}
+
+// checked returns the response of an exit, or an unknown outcome in place of an
+// upstream's response that is malformed. An exit of an earlier release doesn't
+// check these.
+func checked(resp *wirepb.CallResponse) *wirepb.CallResponse {
+	if resp.GetOutcome() != wirepb.Outcome_OUTCOME_RAN || reply.CheckStatus(int(resp.GetStatus())) == nil {
+		return resp
+	}
+	return &wirepb.CallResponse{Id: resp.GetId(), Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: wirepb.Reason_REASON_BROKEN}
 }
 
 // CloseIdle closes the idle connections to a peer after one of its connections
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -33,3 +33,13 @@
 	}
 	assert.Equal(t, complete, 0, "of %d truncated responses", puts)
 }
+
+// Guards against a response whose status is none and that proves an outcome.
+func TestMalformedStatusIsUnknown(t *testing.T) {
+	for _, status := range []string{"000", "101", "600"} {
+		base := rawPlatform(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\n{}", stand.Finished)
+		assert.Equal(t, commitRow(plat.NewTable(base), 0).Outcome, store.Unknown, status)
+		_, r := plat.NewObjects(base).Get(t.Context(), "k")
+		assert.Equal(t, r.Outcome, store.Unknown, status)
+	}
+}
--- a/internal/wire/reply/transport.go
+++ b/internal/wire/reply/transport.go
@@ -6,8 +6,15 @@
 	"net/http"
 )
 
-// NewTransport returns t, whose connections become those of this package.
-func NewTransport(t *http.Transport) *http.Transport {
+// Transport is an http.Transport that returns an error for a response that Check
+// rejects.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport that uses t and changes its connections to
+// those of this package.
+func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -19,5 +26,18 @@
 		}
 		return NewConn(c), nil
 	}
-	return t
+	return &Transport{Transport: t}
+}
+
+// RoundTrip sends a request and returns the final response to it.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
