reply: reject responses with a malformed field name

An upstream in trouble sent a head in which the name of a field held a blank. The caller got it as an answer: with that line passed on; where the line began with the blank, as a part of the value before it, which may be the signature; and with a blank before the colon of Content-Length or Transfer-Encoding, with a body that wasn't the upstream's, since its framing was not understood. From the store, such a head could confirm or refuse a transaction.

Cause: net/textproto accepts blanks in names and joins a line that begins with white space to the one before it. No reader checked the names. Control characters, also in front of a colon, an empty name and a missing colon were rejected already; their cases are kept in the tests.

reply.Check requires each name to be a token. A joined line can't be seen after parsing, so reply.Conn scans the bytes of a head, from the start that its reader announces, for lines that begin with white space (RFC 9112, section 5.2, lets a gateway reject those). conns announces each response, reply.Transport each request. The fields of an upstream's response from another node are checked as well, as that node may be of an earlier release.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -134,7 +134,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*reply.Conn
 	address string
 	// source is the connection with a limit, and reader buffers it.
 	source      *io.LimitedReader
@@ -222,9 +222,9 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	p.opts.OnDial()
-	nc = reply.NewConn(nc)
-	source := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, address: address, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout}, nil
+	rc := reply.NewConn(nc)
+	source := &io.LimitedReader{R: rc}
+	return &conn{Conn: rc, address: address, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // Dial opens a connection that is reset when it is closed, so that data still
@@ -313,11 +313,10 @@
 
 // isIdle reports whether an unused connection is open and has no data to read.
 func (c *conn) isIdle() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return !ok
+	if c.reader.Buffered() > 0 {
+		return false
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -402,6 +401,10 @@
 		return nil, err
 	}
 	e.begun = true
+	buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered()) // can't fail
+	if err := e.conn.ExpectResponse(buffered); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
 	if err != nil && e.conn.source.N <= 0 {
 		return nil, ErrHeadTooLarge
--- a/internal/conns/malformed_test.go
+++ b/internal/conns/malformed_test.go
@@ -46,3 +46,30 @@
 		assert.Equal(t, string(resp.Body), "whole")
 	}
 }
+
+// malformedLines are lines of a head whose field name is none.
+var malformedLines = []string{
+	"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "\tX-Odd: 1", " X-Odd: 1", "X\x01Odd: 1", "X\x00Odd: 1", "X\x7fOdd: 1", "X\rOdd: 1", ": 1", "X-Odd",
+	"Content-Length : 5", "Transfer-Encoding : chunked",
+}
+
+// Guards against a response with a malformed field name, which was passed on
+// with that line, or with a body whose length net/http doesn't know then.
+func TestMalformedFieldName(t *testing.T) {
+	for _, line := range malformedLines {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nId: 1\r\n",
+			"HTTP/1.1 200 OK\r\nId: 1\r\n" + line + "\r\n",
+		} {
+			for _, framing := range []string{"Content-Length: 5\r\n", ""} {
+				resp, err := exchange(t, head+framing+"\r\nwhole")
+				var failure *conns.Error
+				assert.Assert(t, errors.As(err, &failure), "%q: %+v", line, resp)
+				assert.Assert(t, failure.Sent)
+			}
+		}
+	}
+	resp, err := exchange(t, "HTTP/1.1 200 OK\r\nId: 1\r\nx_odd.!#$%&'*+^`|~9: \t1 \xe9\r\nContent-Length: 5\r\n\r\nwhole")
+	assert.NilError(t, err)
+	assert.Equal(t, string(resp.Body), "whole")
+}
--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -51,3 +51,13 @@
 		assert.Equal(t, reason, wirepb.Reason_REASON_BROKEN)
 	}
 }
+
+// Guards against a response with a malformed field name that is taken for one.
+func TestMalformedFieldNameIsUnknown(t *testing.T) {
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "X\x01Odd: 1", " X-Odd: 1", "Content-Length : 5", "Transfer-Encoding : chunked"} {
+		h := rawHarness(t, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\n\r\nwhole", stand.Finished)
+		outcome, reason := h.call(t, h.newRequest(""))
+		assert.Equal(t, outcome, unknown, "%q", line)
+		assert.Equal(t, reason, wirepb.Reason_REASON_BROKEN)
+	}
+}
--- a/internal/fleet/broken_test.go
+++ b/internal/fleet/broken_test.go
@@ -65,3 +65,20 @@
 	}
 	assert.Equal(t, c.send(c.nodes[0], http.MethodPost, "/book/x?status=299").body, "whole")
 }
+
+// Guards against a response with a malformed field name that reaches a caller.
+func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
+	lines := map[string]string{
+		"blank": "X Odd: 1\r\nContent-Length: 5", "control": "X\x01Odd: 1\r\nContent-Length: 5", "folded": "X: y\r\n X-Odd: 1\r\nContent-Length: 5",
+		"length": "Connection: close\r\nContent-Length : 5", "chunked": "Connection: close\r\nTransfer-Encoding : chunked",
+	}
+	c := newBrokenCluster(t, func(r *http.Request) string {
+		return signedHead(r) + lines[r.URL.Query().Get("line")] + "\r\n\r\nwhole"
+	})
+	for name := range lines {
+		for range 4 {
+			a := c.send(c.nodes[0], http.MethodPost, "/book/x?line="+name)
+			assert.Equal(t, a.status, http.StatusBadGateway, "%s: body %q", name, a.body)
+		}
+	}
+}
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/stand"
+	"github.com/cicadahall/cicadahall/internal/wire/reply"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -95,3 +97,27 @@
 		assert.Equal(t, resp.GetStatus(), int32(http.StatusTeapot))
 	}
 }
+
+// Guards against passing on a malformed field name of an upstream's response, from a
+// node that doesn't check it, and against a head of the node itself with one.
+func TestMalformedFieldNameIsUnknown(t *testing.T) {
+	for _, field := range []*wirepb.Header{
+		{Name: "X Odd", Values: []string{"1"}},
+		{Name: "Content-Length ", Values: []string{"5"}},
+		{Name: "X\x01Odd", Values: []string{"1"}},
+		{Name: "", Values: []string{"1"}},
+	} {
+		address := nodeOf(t, &wirepb.CallResponse{Id: []byte("id"), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: http.StatusOK, Headers: []*wirepb.Header{field}})
+		for _, resp := range callAndResolve(t, address) {
+			assert.Equal(t, resp.GetOutcome(), wirepb.Outcome_OUTCOME_UNKNOWN, "%v", field)
+			assert.Equal(t, resp.GetReason(), wirepb.Reason_REASON_BROKEN)
+		}
+	}
+	frame := "\x00\x00\x00\x02\x10\x01" // the outcome "ran"
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/x-cicadahall-frame\r\nX Odd: 1\r\nContent-Length: %d\r\n\r\n%s", len(frame), frame)
+	address := listen(t, stand.RawResponse{Text: func(*http.Request) string { return text }})
+	p := peer.NewPool(peer.Options{MaxBodyBytes: 1 << 10})
+	defer p.Close()
+	resp, err := p.Call(t.Context(), address, &wirepb.CallRequest{Id: []byte("id"), DeadlineNanos: inOneMinute()}, func() {})
+	assert.ErrorIs(t, err, reply.ErrMalformed, "%v", resp)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,12 +195,17 @@
 // upstream's response that is malformed. An exit of an earlier release doesn't
 // check these.
 func checked(resp *wirepb.CallResponse) *wirepb.CallResponse {
-	if resp.GetOutcome() != wirepb.Outcome_OUTCOME_RAN || reply.CheckStatus(int(resp.GetStatus())) == nil {
+	if resp.GetOutcome() != wirepb.Outcome_OUTCOME_RAN || isWellFormed(resp) {
 		return resp
 	}
 	return &wirepb.CallResponse{Id: resp.GetId(), Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: wirepb.Reason_REASON_BROKEN}
 }
 
+func isWellFormed(resp *wirepb.CallResponse) bool {
+	isMalformed := func(h *wirepb.Header) bool { return reply.CheckFieldName(h.GetName()) != nil }
+	return reply.CheckStatus(int(resp.GetStatus())) == nil && !slices.ContainsFunc(resp.GetHeaders(), isMalformed)
+}
+
 // CloseIdle closes the idle connections to a peer after one of its connections
 // stopped responding: the cause often affects the other connections as well.
 func (p *Pool) CloseIdle(address string) {
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -43,3 +43,11 @@
 		assert.Equal(t, r.Outcome, store.Unknown, status)
 	}
 }
+
+// Guards against an object whose length is unknown, since the field name of its
+// length is malformed.
+func TestMalformedFieldNameIsUnknown(t *testing.T) {
+	base := rawPlatform(t, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\npart", stand.Finished)
+	object, r := plat.NewObjects(base).Get(t.Context(), "k")
+	assert.Equal(t, r.Outcome, store.Unknown, "%q", object)
+}
--- a/internal/wire/reply/conn.go
+++ b/internal/wire/reply/conn.go
@@ -12,8 +12,9 @@
 	"time"
 )
 
-// Conn is a connection of a client whose Read returns io.EOF only if the peer
-// has ended its output.
+// Conn is a connection of a client. Its Read returns io.EOF only if the peer has
+// ended its output, and ErrMalformed for a response whose head has a line that
+// begins with white space.
 //
 // The system reports a reset once, to the Read or the Write that comes first.
 // After a Write that failed, it lets Read return io.EOF, which would complete a
@@ -24,6 +25,9 @@
 	// mu is held by a Write in progress.
 	mu       sync.Mutex
 	writeErr error
+
+	headMu sync.Mutex
+	head   headScanner
 }
 
 // NewConn returns a Conn that uses c.
@@ -31,6 +35,15 @@
 	return &Conn{Conn: c}
 }
 
+// ExpectResponse marks the start of a response. Buffered are the bytes after it
+// that have been read already.
+func (c *Conn) ExpectResponse(buffered []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = headScanner{active: true}
+	return c.head.scan(buffered)
+}
+
 // Write writes to the connection.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -46,6 +59,12 @@
 // progress, which may be the one that gets the error of a reset.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.headMu.Lock()
+	headErr := c.head.scan(b[:n])
+	c.headMu.Unlock()
+	if headErr != nil {
+		return 0, headErr
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/internal/wire/reply/transport.go
+++ b/internal/wire/reply/transport.go
@@ -4,10 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.Transport that returns an error for a response that Check
-// rejects.
+// or a Conn rejects.
 type Transport struct {
 	*http.Transport
 }
@@ -31,7 +32,12 @@
 
 // RoundTrip sends a request and returns the final response to it.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*Conn); ok {
+			_ = c.ExpectResponse(nil) // there is nothing to reject
+		}
+	}}
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
