reply: bound the head of every response

An upstream in trouble that sent a head without end made the node beside it store up to 10 MiB of it for each request, which took a multiple of that while it was parsed. Two such requests took the heap over 128 MB (161 to 222 MB in three runs of internal/exit TestEndlessHeadsStayWithinMemory), and the process of a node that ends for lack of memory takes the requests of other callers with it.

Cause: net/http bounds a head to 10 MiB unless a transport says otherwise, and none of ours did: the public interface, other nodes, the store. conns has its own bound of 64 KiB, and TestEndlessResponses already covered it.

reply.NewTransport sets the bound of conns for all of them. The heap in the test stays at 14 MB.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -56,8 +56,6 @@
 	// bufferSize is the size of a connection's read buffer in bytes; most
 	// responses are smaller.
 	bufferSize = 4 << 10
-	// maxHeadBytes bounds the status line and headers of a response in bytes.
-	maxHeadBytes = 64 << 10
 	// maxUnsuccessful is the maximum number of unsuccessful responses on one
 	// connection, which bounds the memory of their IDs.
 	maxUnsuccessful = 32
@@ -71,7 +69,7 @@
 // requests.
 var ErrMismatchedResponse = errors.New("upstream sent only responses to other requests")
 
-// ErrHeadTooLarge reports a response head above maxHeadBytes.
+// ErrHeadTooLarge reports a response head above reply.MaxHeadBytes.
 var ErrHeadTooLarge = errors.New("upstream response head exceeds the size limit")
 
 // ErrBodyTooLarge reports a response body above the size limit.
@@ -396,7 +394,7 @@
 }
 
 func (e *exchange) readResponse() (*Response, error) {
-	e.conn.source.N = maxHeadBytes
+	e.conn.source.N = reply.MaxHeadBytes
 	if _, err := e.conn.reader.Peek(1); err != nil {
 		return nil, err
 	}
@@ -434,7 +432,7 @@
 // checkAndReadBody checks a response's head and reads its body.
 func (e *exchange) checkAndReadBody(resp *http.Response) ([]byte, error) {
 	// The limit leaves room for the frames of chunks and for trailers.
-	e.conn.source.N = 2*e.pool.opts.MaxBodyBytes + maxHeadBytes
+	e.conn.source.N = 2*e.pool.opts.MaxBodyBytes + reply.MaxHeadBytes
 	if err := reply.Check(resp); err != nil {
 		return nil, err
 	}
--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -1,8 +1,15 @@
 package exit_test
 
 import (
+	"io"
 	"net/http"
+	"runtime"
+	"runtime/metrics"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -61,3 +68,72 @@
 		assert.Equal(t, reason, wirepb.Reason_REASON_BROKEN)
 	}
 }
+
+// Guards against an upstream that sends a head without end and takes the node
+// over its memory.
+func TestEndlessHeadsStayWithinMemory(t *testing.T) {
+	const requests = 2
+	lines := strings.Repeat("X: y\r\n", 4096)
+	var endless atomic.Bool
+	h := newHarness(t, requests, func(w http.ResponseWriter, r *http.Request) {
+		if !endless.Load() {
+			ok(w, r)
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, lines)
+		}
+	})
+	for i := 0; h.exit.Load().GetLimit() < requests; i++ {
+		assert.Assert(t, i < 50_000, "the limit does not grow")
+		h.call(t, h.newRequest(""))
+	}
+	endless.Store(true)
+	peak := peakHeap(func() {
+		var wg sync.WaitGroup
+		for range requests {
+			req := h.newRequest("")
+			wg.Go(func() {
+				outcome, reason := h.call(t, req)
+				assert.Check(t, outcome == unknown && reason == wirepb.Reason_REASON_BROKEN, "%v, %v", outcome, reason)
+			})
+		}
+		wg.Wait()
+	})
+	t.Logf("heap %d MB", peak/1_000_000)
+	assert.Assert(t, peak < memoryLimit, "the heap grew to %d bytes", peak)
+}
+
+// memoryLimit is the memory of a node in bytes that the capacity page plans
+// with.
+const memoryLimit = 128_000_000
+
+// peakHeap returns the largest size of the heap while f runs.
+func peakHeap(f func()) uint64 {
+	runtime.GC()
+	done := make(chan struct{})
+	peak := make(chan uint64)
+	go func() {
+		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+		var largest uint64
+		for {
+			metrics.Read(sample)
+			largest = max(largest, sample[0].Value.Uint64())
+			select {
+			case <-done:
+				peak <- largest
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	f()
+	close(done)
+	return <-peak
+}
--- a/internal/wire/reply/transport.go
+++ b/internal/wire/reply/transport.go
@@ -7,14 +7,17 @@
 	"net/http/httptrace"
 )
 
+// MaxHeadBytes bounds the status line and the fields of a response in bytes.
+const MaxHeadBytes = 64 << 10
+
 // Transport is an http.Transport that returns an error for a response that Check
 // or a Conn rejects.
 type Transport struct {
 	*http.Transport
 }
 
-// NewTransport returns a Transport that uses t and changes its connections to
-// those of this package.
+// NewTransport returns a Transport that uses t, which it changes to connections
+// of this package and to heads of at most MaxHeadBytes.
 func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	if dial == nil {
@@ -27,6 +30,7 @@
 		}
 		return NewConn(c), nil
 	}
+	t.MaxResponseHeaderBytes = MaxHeadBytes
 	return &Transport{Transport: t}
 }
 
