--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -3,13 +3,10 @@
 import (
 	"io"
 	"net/http"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -95,7 +92,7 @@
 		h.call(t, h.newRequest(""))
 	}
 	endless.Store(true)
-	peak := peakHeap(func() {
+	peak := stand.PeakHeap(func() {
 		var wg sync.WaitGroup
 		for range requests {
 			req := h.newRequest("")
@@ -113,27 +110,3 @@
 // memoryLimit is the memory of a node in bytes that the capacity page plans
 // with.
 const memoryLimit = 128_000_000
-
-// peakHeap returns the largest size of the heap while f runs.
-func peakHeap(f func()) uint64 {
-	runtime.GC()
-	done := make(chan struct{})
-	peak := make(chan uint64)
-	go func() {
-		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-		var largest uint64
-		for {
-			metrics.Read(sample)
-			largest = max(largest, sample[0].Value.Uint64())
-			select {
-			case <-done:
-				peak <- largest
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	f()
-	close(done)
-	return <-peak
-}
--- a/internal/fleet/memory_test.go
+++ b/internal/fleet/memory_test.go
@@ -5,44 +5,19 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cicadahall/cicadahall/internal/stand"
 )
 
 // memoryLimit is the memory of each node, in bytes, in the tests of its bound.
 const memoryLimit = 128_000_000
 
-// peakHeap returns the largest size of the heap while f runs.
-func peakHeap(f func()) uint64 {
-	runtime.GC()
-	done := make(chan struct{})
-	peak := make(chan uint64)
-	go func() {
-		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-		var largest uint64
-		for {
-			metrics.Read(sample)
-			largest = max(largest, sample[0].Value.Uint64())
-			select {
-			case <-done:
-				peak <- largest
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	f()
-	close(done)
-	return <-peak
-}
-
 // Guards against an upstream that answers without end and takes the node over
 // its memory, whose platform then ends it with the requests of other callers.
 func TestEndlessResponsesStayWithinMemory(t *testing.T) {
@@ -64,7 +39,7 @@
 		}
 	})
 	var failed atomic.Int64
-	peak := peakHeap(func() {
+	peak := stand.PeakHeap(func() {
 		var wg sync.WaitGroup
 		for range 6 {
 			wg.Go(func() {
@@ -97,7 +72,7 @@
 	})
 	body := make([]byte, size)
 	var served, refused atomic.Int64
-	peak := peakHeap(func() {
+	peak := stand.PeakHeap(func() {
 		var wg sync.WaitGroup
 		for range 4 {
 			wg.Go(func() {
