peer: keep endless messages of other nodes within the memory

A node in trouble, or another program at its address, that sent a message without end took its caller's heap to 235 MB, in a response to a control message and in one to a request of a peer that doesn't know frames. A node has 128 MB, and its process ends with the requests of all its callers.

Cause: both clients read up to the size of the largest body, 64 MiB, and connect-go stores a message several times while it reads and decodes it. Frames are charged to the request's lease before they are stored; these responses were not.

Responses of peers without frames are charged to the lease, as a server charges requests.

--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -1,16 +1,20 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/cicadahall/cicadahall/internal/control/quota"
 	"github.com/cicadahall/cicadahall/internal/peer"
 	"github.com/cicadahall/cicadahall/internal/stand"
 	"github.com/cicadahall/cicadahall/internal/wire/reply"
@@ -121,3 +125,50 @@
 	resp, err := p.Call(t.Context(), address, &wirepb.CallRequest{Id: []byte("id"), DeadlineNanos: inOneMinute()}, func() {})
 	assert.ErrorIs(t, err, reply.ErrMalformed, "%v", resp)
 }
+
+// Guards against a node that sends a message without end and takes the caller
+// over its memory: in a control message and in the response of an earlier release.
+func TestEndlessMessagesStayWithinMemory(t *testing.T) {
+	block := bytes.Repeat([]byte("no answer "), 6_400)
+	address := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/frame/") {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/proto")
+		for {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	}))
+	p := peer.NewPool(peer.Options{MaxBodyBytes: 64 << 20})
+	defer p.Close()
+	q := quota.New(quota.Options{Limit: 64 << 20, Collect: runtime.GC, OnRefusal: func(quota.Kind, error) {}})
+	defer q.Close()
+	for name, call := range map[string]func(context.Context) error{
+		"control": func(ctx context.Context) error {
+			_, err := p.ControlClient(address).Sync(ctx, &wirepb.SyncRequest{})
+			return err
+		},
+		"call": func(ctx context.Context) error {
+			lease, err := q.NewLease()
+			assert.NilError(t, err)
+			defer lease.Release()
+			_, err = p.Call(quota.NewContext(ctx, lease), address, &wirepb.CallRequest{Id: []byte("id"), DeadlineNanos: inOneMinute()}, func() {})
+			return err
+		},
+	} {
+		peak := stand.PeakHeap(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			assert.Check(t, call(ctx) != nil)
+		})
+		t.Logf("%s: heap %d MB", name, peak/1_000_000)
+		assert.Check(t, peak < memoryLimit, "%s: the heap grew to %d bytes", name, peak)
+	}
+}
+
+// memoryLimit is the memory of a node in bytes that the capacity page plans
+// with.
+const memoryLimit = 128_000_000
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -44,6 +44,8 @@
 	// messageOverhead is added to the body limit for the rest of a message, in
 	// bytes.
 	messageOverhead = 256 << 10
+	// maxControlResponseBytes bounds the response to a control message, in bytes.
+	maxControlResponseBytes = 16 << 20
 )
 
 // Options configures a Pool and a server.
@@ -88,10 +90,36 @@
 	return &Pool{opts: o, peers: map[string]*peerConn{}}
 }
 
-// client returns a client that uses transport t.
-func (p *Pool) client(t *reply.Transport, address string, opts ...connect.ClientOption) wirepb.PeerClient {
-	opts = append(opts, connect.WithReadMaxBytes(int(p.opts.MaxBodyBytes)+messageOverhead))
-	return wirepb.NewPeerClient(&http.Client{Transport: t}, "http://"+address, opts...)
+// controlClient returns a client for control messages.
+func (p *Pool) controlClient(t *reply.Transport, address string) wirepb.PeerClient {
+	return wirepb.NewPeerClient(&http.Client{Transport: t}, "http://"+address,
+		connect.WithReadMaxBytes(min(p.maxMessageBytes(), maxControlResponseBytes)),
+		connect.WithAcceptCompression(gzipName, newDecompressor, newCompressor),
+		connect.WithSendCompression(gzipName),
+		connect.WithCompressMinBytes(minCompressBytes))
+}
+
+// plainClient returns a client for requests to a peer that doesn't know frames.
+func (p *Pool) plainClient(t *reply.Transport, address string) wirepb.PeerClient {
+	return wirepb.NewPeerClient(&http.Client{Transport: chargedTransport{t}}, "http://"+address,
+		connect.WithReadMaxBytes(p.maxMessageBytes()))
+}
+
+func (p *Pool) maxMessageBytes() int { return int(p.opts.MaxBodyBytes) + messageOverhead }
+
+// chargedTransport charges responses to the lease of the request's context.
+type chargedTransport struct {
+	*reply.Transport
+}
+
+// RoundTrip sends a request and returns the response to it.
+func (t chargedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &chargedBody{ReadCloser: resp.Body, lease: quota.FromContext(r.Context()), kind: quota.Response}
+	return resp, nil
 }
 
 func newTransport() *reply.Transport {
@@ -130,11 +158,8 @@
 		transport := newTransport()
 		pc = &peerConn{
 			transport: transport,
-			control: p.client(transport, address,
-				connect.WithAcceptCompression(gzipName, newDecompressor, newCompressor),
-				connect.WithSendCompression(gzipName),
-				connect.WithCompressMinBytes(minCompressBytes)),
-			plain: p.client(transport, address),
+			control:   p.controlClient(transport, address),
+			plain:     p.plainClient(transport, address),
 		}
 		p.peers[address] = pc
 	}
@@ -183,7 +208,7 @@
 	req.LeftNanos = remainingNanos(req.GetDeadlineNanos())
 	resp, err := p.exchange(ctx, t, "http://"+address+resolvePath, req, nil)
 	if errors.Is(err, errNoFrames) {
-		resp, err = p.client(t, address).Resolve(ctx, req)
+		resp, err = p.plainClient(t, address).Resolve(ctx, req)
 	}
 	if err != nil {
 		return nil, oops.With("step", "resolve", "peer", address).Wrap(err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -74,7 +74,7 @@
 		}
 		defer lease.Release()
 		charged := r.WithContext(quota.NewContext(r.Context(), lease))
-		charged.Body = &chargedBody{ReadCloser: r.Body, lease: lease}
+		charged.Body = &chargedBody{ReadCloser: r.Body, lease: lease, kind: quota.Body}
 		handler.ServeHTTP(w, charged)
 	}
 }
@@ -83,12 +83,13 @@
 type chargedBody struct {
 	io.ReadCloser
 	lease *quota.Lease
+	kind  quota.Kind
 }
 
 // Read reads and charges the next bytes.
 func (b *chargedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if growErr := b.lease.Grow(quota.Body, messageCopies*quota.Bytes(n)); growErr != nil {
+	if growErr := b.lease.Grow(b.kind, messageCopies*quota.Bytes(n)); growErr != nil {
 		return 0, growErr
 	}
 	return n, err
