plat: report a response above the size limit

A response of the platform without end was cut at 32 MiB, and an object that was cut so counted as read: "done" with 33,554,432 bytes in TestEndlessResponseIsUnknown before.

Cause: the reader stopped at the limit and didn't look for more.

--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -51,3 +52,26 @@
 	object, r := plat.NewObjects(base).Get(t.Context(), "k")
 	assert.Equal(t, r.Outcome, store.Unknown, "%q", object)
 }
+
+// memoryLimit is the memory of a node in bytes that the capacity page plans
+// with.
+const memoryLimit = 128_000_000
+
+// Guards against a response without end that takes the node over its memory, or
+// of which a part is taken for the whole object.
+func TestEndlessResponseIsUnknown(t *testing.T) {
+	block := bytes.Repeat([]byte("no answer "), 6_400)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	}))
+	defer s.Close()
+	var r store.Result
+	var object []byte
+	peak := stand.PeakHeap(func() { object, r = plat.NewObjects(s.URL).Get(t.Context(), "k") })
+	assert.Assert(t, peak < memoryLimit, "the heap grew to %d bytes", peak)
+	assert.Equal(t, r.Outcome, store.Unknown, "%d bytes", len(object))
+}
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -30,6 +30,8 @@
 	idleTimeout = 30 * time.Second
 )
 
+var errResponseTooLarge = errors.New("response exceeds the size limit")
+
 // KeyRequest is the body of the table's get and scan calls.
 type KeyRequest struct {
 	Key string `json:"key"`
@@ -128,7 +130,10 @@
 		return nil, c.failed(path, outcomeOf(err), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(content) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	if err != nil {
 		return nil, c.failed(path, store.Unknown, err)
 	}
