verbs: check the responses that timeline reads

The timeline command counted a node whose response had a malformed head as one without events, and exited with 0 (TestTimelineOfMalformedResponse before).

--- a/internal/cmd/verbs/timeline.go
+++ b/internal/cmd/verbs/timeline.go
@@ -14,6 +14,7 @@
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/internal/gather"
+	"github.com/cicadahall/cicadahall/internal/wire/reply"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -130,7 +131,7 @@
 
 // newCollector returns a collector that calls nodes over HTTP/1.1.
 func newCollector(timeout time.Duration) *gather.Collector {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Transport: reply.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1})}
 	dial := func(address string) wirepb.PeerClient {
 		return wirepb.NewPeerClient(client, "http://"+address, connect.WithReadMaxBytes(maxEventsBytes))
 	}
--- a/internal/cmd/verbs/timeline_test.go
+++ b/internal/cmd/verbs/timeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -14,6 +15,7 @@
 
 	"github.com/cicadahall/cicadahall/event"
 	"github.com/cicadahall/cicadahall/internal/gather"
+	"github.com/cicadahall/cicadahall/internal/stand"
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
@@ -103,3 +105,14 @@
 	code, _, _ = run("timeline")
 	assert.Equal(t, code, 2)
 }
+
+// Guards against a response of a node with a malformed head that counts as one
+// without events.
+func TestTimelineOfMalformedResponse(t *testing.T) {
+	s := httptest.NewServer(stand.RawResponse{Text: func(*http.Request) string {
+		return "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n"
+	}})
+	defer s.Close()
+	code, out, _ := run("timeline", "--peer", s.Listener.Addr().String())
+	assert.Equal(t, code, 1, out)
+}
