peer: bound the interim responses to a request

Cause: net/http bounds the heads of interim responses together with that of the final one, unless the caller examines them, as Call does.

Call fails after four; an exit sends one. The entry then asks for the outcome over a new connection, as after any broken call.

--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -169,6 +169,30 @@
 	}
 }
 
+// Guards against a node that sends interim responses without end, each of which
+// confirms the request, until the caller's deadline.
+func TestEndlessInterimResponses(t *testing.T) {
+	interim := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 4096)
+	address := listen(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for err == nil {
+			_, err = io.WriteString(conn, interim)
+		}
+	}))
+	p := peer.NewPool(peer.Options{MaxBodyBytes: 1 << 10})
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	confirmed := 0
+	_, err := p.Call(ctx, address, &wirepb.CallRequest{Id: []byte("id"), DeadlineNanos: inOneMinute()}, func() { confirmed++ })
+	assert.Assert(t, err != nil)
+	assert.NilError(t, ctx.Err(), "the call lasted until its deadline; it was confirmed %d times", confirmed)
+}
+
 // memoryLimit is the memory of a node in bytes that the capacity page plans
 // with.
 const memoryLimit = 128_000_000
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -44,10 +44,15 @@
 	// messageOverhead is added to the body limit for the rest of a message, in
 	// bytes.
 	messageOverhead = 256 << 10
+	// maxInterimResponses is the maximum number of interim responses to a
+	// request; an exit sends one.
+	maxInterimResponses = 4
 	// maxControlResponseBytes bounds the response to a control message, in bytes.
 	maxControlResponseBytes = 16 << 20
 )
 
+var errTooManyInterim = errors.New("peer sent too many interim responses")
+
 // Options configures a Pool and a server.
 type Options struct {
 	// MaxBodyBytes is the maximum size of a request or response body in bytes.
@@ -170,8 +175,13 @@
 // the exit confirms the arrival of the request's headers, which proves that the
 // connection is responsive.
 func (p *Pool) Call(ctx context.Context, address string, req *wirepb.CallRequest, progress func()) (*wirepb.CallResponse, error) {
+	interim := 0
 	trace := &httptrace.ClientTrace{
+		// With this function, the transport doesn't bound the interim responses.
 		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+			if interim++; interim > maxInterimResponses {
+				return errTooManyInterim
+			}
 			if code == http.StatusProcessing {
 				progress()
 			}
