peer: bound responses to control messages as servers do

With the bound of 16 MiB that the operator's commands need, an endless response to a node's control message took up to 100 MB of heap in TestEndlessMessagesStayWithinMemory (59 MB with another stand-in), close to the 128 MB of a node.

--- a/internal/cmd/verbs/apply.go
+++ b/internal/cmd/verbs/apply.go
@@ -133,7 +133,7 @@
 // waitInForce waits until all reachable nodes serve with the revision and returns
 // the exit code.
 func (v *applyCommand) waitInForce(a *applyResult) (int, error) {
-	pool := peer.NewPool(peer.Options{MaxBodyBytes: maxStatusBytes})
+	pool := peer.NewPool(peer.Options{MaxControlBytes: maxStatusBytes})
 	defer pool.Close()
 	deadline := time.Now().Add(v.Wait)
 	v.sendHead(pool, a)
--- a/internal/cmd/verbs/report.go
+++ b/internal/cmd/verbs/report.go
@@ -52,7 +52,7 @@
 
 // addSnapshots adds the snapshots that the members hold.
 func (v *reportCommand) addSnapshots(r *work.Report) error {
-	pool := peer.NewPool(peer.Options{MaxBodyBytes: maxStatusBytes})
+	pool := peer.NewPool(peer.Options{MaxControlBytes: maxStatusBytes})
 	defer pool.Close()
 	s, err := fetchStatus(pool, v.Peer)
 	if err != nil {
--- a/internal/cmd/verbs/status.go
+++ b/internal/cmd/verbs/status.go
@@ -72,7 +72,7 @@
 
 // Execute prints the status. With --wait it first waits until the move has ended.
 func (v *statusCommand) Execute([]string) error {
-	pool := peer.NewPool(peer.Options{MaxBodyBytes: maxStatusBytes})
+	pool := peer.NewPool(peer.Options{MaxControlBytes: maxStatusBytes})
 	defer pool.Close()
 	deadline := time.Now().Add(v.Limit)
 	lastLine := ""
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,6 +4,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -47,8 +48,6 @@
 	// maxInterimResponses is the maximum number of interim responses to a
 	// request; an exit sends one.
 	maxInterimResponses = 4
-	// maxControlResponseBytes bounds the response to a control message, in bytes.
-	maxControlResponseBytes = 16 << 20
 )
 
 var errTooManyInterim = errors.New("peer sent too many interim responses")
@@ -57,6 +56,9 @@
 type Options struct {
 	// MaxBodyBytes is the maximum size of a request or response body in bytes.
 	MaxBodyBytes int64
+	// MaxControlBytes is the maximum size in bytes of a pool's responses to control
+	// messages; 0 means what a server accepts.
+	MaxControlBytes int
 	// Quota bounds the memory of the requests that a server handles at one time;
 	// nil means no bound. A pool charges responses to the lease of their context.
 	Quota *quota.Quota
@@ -98,7 +100,7 @@
 // controlClient returns a client for control messages.
 func (p *Pool) controlClient(t *reply.Transport, address string) wirepb.PeerClient {
 	return wirepb.NewPeerClient(&http.Client{Transport: t}, "http://"+address,
-		connect.WithReadMaxBytes(min(p.maxMessageBytes(), maxControlResponseBytes)),
+		connect.WithReadMaxBytes(cmp.Or(p.opts.MaxControlBytes, maxControlBytes)),
 		connect.WithAcceptCompression(gzipName, newDecompressor, newCompressor),
 		connect.WithSendCompression(gzipName),
 		connect.WithCompressMinBytes(minCompressBytes))
@@ -107,11 +109,9 @@
 // plainClient returns a client for requests to a peer that doesn't know frames.
 func (p *Pool) plainClient(t *reply.Transport, address string) wirepb.PeerClient {
 	return wirepb.NewPeerClient(&http.Client{Transport: chargedTransport{t}}, "http://"+address,
-		connect.WithReadMaxBytes(p.maxMessageBytes()))
+		connect.WithReadMaxBytes(int(p.opts.MaxBodyBytes)+messageOverhead))
 }
 
-func (p *Pool) maxMessageBytes() int { return int(p.opts.MaxBodyBytes) + messageOverhead }
-
 // chargedTransport charges responses to the lease of the request's context.
 type chargedTransport struct {
 	*reply.Transport
