stand: share endless responses; keep a test of the store's

RawResponse writes a text without end, which four tests did on their own. The new test of platform shows that the store's client handles such a response already: within the memory, and with an unknown outcome.

--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -1,9 +1,7 @@
 package exit_test
 
 import (
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -70,22 +68,14 @@
 // over its memory.
 func TestEndlessHeadsStayWithinMemory(t *testing.T) {
 	const requests = 2
-	lines := strings.Repeat("X: y\r\n", 4096)
+	response := stand.RawResponse{Text: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, Endless: "X: y\r\n"}
 	var endless atomic.Bool
 	h := newHarness(t, requests, func(w http.ResponseWriter, r *http.Request) {
 		if !endless.Load() {
 			ok(w, r)
 			return
 		}
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
-		for err == nil {
-			_, err = io.WriteString(conn, lines)
-		}
+		response.ServeHTTP(w, r)
 	})
 	for i := 0; h.exit.Load().GetLimit() < requests; i++ {
 		assert.Assert(t, i < 50_000, "the limit does not grow")
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -1,7 +1,6 @@
 package peer_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -21,6 +20,19 @@
 	"github.com/cicadahall/cicadahall/internal/wirepb"
 )
 
+// earlierRelease returns the handler of a node that doesn't know frames and
+// serves all other requests by h.
+func earlierRelease(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/frame/") {
+			_, _ = io.Copy(io.Discard, r.Body)
+			http.NotFound(w, r)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Guards against a response of a node of an earlier release, without a length,
 // whose connection is reset while the request is being written: cut between two
 // fields, it is a valid message without a body.
@@ -33,14 +45,7 @@
 		},
 		Ending: stand.Reset,
 	}
-	address := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/frame/") {
-			_, _ = io.Copy(io.Discard, r.Body)
-			http.NotFound(w, r)
-			return
-		}
-		response.ServeHTTP(w, r)
-	}))
+	address := listen(t, earlierRelease(response))
 	p := peer.NewPool(peer.Options{MaxBodyBytes: 64 << 20})
 	defer p.Close()
 	const uploads = 50
@@ -129,18 +134,9 @@
 // Guards against a node that sends a message without end and takes the caller
 // over its memory: in a control message and in the response of an earlier release.
 func TestEndlessMessagesStayWithinMemory(t *testing.T) {
-	block := bytes.Repeat([]byte("no answer "), 6_400)
-	address := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/frame/") {
-			http.NotFound(w, r)
-			return
-		}
-		w.Header().Set("Content-Type", "application/proto")
-		for {
-			if _, err := w.Write(block); err != nil {
-				return
-			}
-		}
+	address := listen(t, earlierRelease(stand.RawResponse{
+		Text:    func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n" },
+		Endless: "no answer ",
 	}))
 	p := peer.NewPool(peer.Options{MaxBodyBytes: 64 << 20})
 	defer p.Close()
@@ -172,17 +168,8 @@
 // Guards against a node that sends interim responses without end, each of which
 // confirms the request, until the caller's deadline.
 func TestEndlessInterimResponses(t *testing.T) {
-	interim := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 4096)
-	address := listen(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		for err == nil {
-			_, err = io.WriteString(conn, interim)
-		}
-	}))
+	interim := "HTTP/1.1 102 Processing\r\n\r\n"
+	address := listen(t, stand.RawResponse{Text: func(*http.Request) string { return interim }, Endless: interim})
 	p := peer.NewPool(peer.Options{MaxBodyBytes: 1 << 10})
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -64,14 +64,7 @@
 func TestMessagesArriveWhole(t *testing.T) {
 	options := peer.Options{MaxBodyBytes: 4 << 20}
 	frames := peer.NewServer(&echoExit{}, options).Handler
-	earlier := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/frame/") {
-			http.NotFound(w, r)
-			return
-		}
-		frames.ServeHTTP(w, r)
-	})
-	for name, handler := range map[string]http.Handler{"frames": frames, "earlier release": earlier} {
+	for name, handler := range map[string]http.Handler{"frames": frames, "earlier release": earlierRelease(frames)} {
 		t.Run(name, func(t *testing.T) {
 			p := peer.NewPool(options)
 			defer p.Close()
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -1,7 +1,6 @@
 package plat_test
 
 import (
-	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -60,14 +59,7 @@
 // Guards against a response without end that takes the node over its memory, or
 // of which a part is taken for the whole object.
 func TestEndlessResponseIsUnknown(t *testing.T) {
-	block := bytes.Repeat([]byte("no answer "), 6_400)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		for {
-			if _, err := w.Write(block); err != nil {
-				return
-			}
-		}
-	}))
+	s := httptest.NewServer(stand.RawResponse{Text: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" }, Endless: "no answer "})
 	defer s.Close()
 	var r store.Result
 	var object []byte
--- a/internal/stand/rawresponse.go
+++ b/internal/stand/rawresponse.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -30,10 +31,16 @@
 // head of the request.
 type RawResponse struct {
 	// Text returns the bytes that are written for a request.
-	Text   func(r *http.Request) string
-	Ending Ending
+	Text func(r *http.Request) string
+	// Endless, if set, is written after the text again and again until the client
+	// closes the connection.
+	Endless string
+	Ending  Ending
 }
 
+// minWriteBytes is the least size of a write of an endless response.
+const minWriteBytes = 32 << 10
+
 // ServeHTTP serves one connection.
 func (rr RawResponse) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	hijacked, _, err := w.(http.Hijacker).Hijack()
@@ -42,7 +49,13 @@
 	}
 	conn := hijacked.(*net.TCPConn)
 	defer func() { _ = conn.Close() }()
-	_, _ = io.WriteString(conn, rr.Text(r))
+	_, err = io.WriteString(conn, rr.Text(r))
+	if rr.Endless != "" {
+		block := strings.Repeat(rr.Endless, 1+minWriteBytes/len(rr.Endless))
+		for err == nil {
+			_, err = io.WriteString(conn, block)
+		}
+	}
 	if rr.Ending == Finished || rr.Ending == Abandoned {
 		_ = conn.CloseWrite()
 	}
