--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return nil, oops.With("step", "call", "peer", address).Wrap(err)
 	}
-	return checked(resp), nil
+	return replaceMalformed(resp), nil
 }
 
 func (p *Pool) call(ctx context.Context, pc *peerConn, address string, req *wirepb.CallRequest) (*wirepb.CallResponse, error) {
@@ -223,13 +223,13 @@
 	if err != nil {
 		return nil, oops.With("step", "resolve", "peer", address).Wrap(err)
 	}
-	return checked(resp), nil
+	return replaceMalformed(resp), nil
 }
 
-// checked returns the response of an exit, or an unknown outcome in place of an
-// upstream's response that is malformed. An exit of an earlier release doesn't
-// check these.
-func checked(resp *wirepb.CallResponse) *wirepb.CallResponse {
+// replaceMalformed returns the response of an exit, with an unknown outcome in
+// place of an upstream's response that is malformed. An exit of an earlier
+// release doesn't check these.
+func replaceMalformed(resp *wirepb.CallResponse) *wirepb.CallResponse {
 	if resp.GetOutcome() != wirepb.Outcome_OUTCOME_RAN || isWellFormed(resp) {
 		return resp
 	}
--- a/internal/wire/reply/conn.go
+++ b/internal/wire/reply/conn.go
@@ -1,6 +1,6 @@
-// Package reply reads the responses of other processes: of upstreams, of other
-// nodes and of the platform. Its connections and transports report as an error
-// what net/http takes for a response and a caller must not get as one.
+// Package reply provides connections and transports that read the HTTP/1.1
+// responses of upstreams, of other nodes and of the platform. They report as an
+// error what net/http takes for a complete response although it is none.
 package reply
 
 import (
