--- a/internal/conns/malformed_test.go
+++ b/internal/conns/malformed_test.go
@@ -29,7 +29,7 @@
 	return resp, err
 }
 
-// Guards against a response whose status is none, which was skipped as an
+// Guards against a response with an invalid status, which was skipped as an
 // interim response or returned, and against waiting for another one.
 func TestMalformedStatus(t *testing.T) {
 	for _, status := range []string{"000", "001", "+20", "099", "101", "600", "999"} {
@@ -47,13 +47,13 @@
 	}
 }
 
-// malformedLines are lines of a head whose field name is none.
+// malformedLines are lines of a head with an invalid field name.
 var malformedLines = []string{
 	"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "\tX-Odd: 1", " X-Odd: 1", "X\x01Odd: 1", "X\x00Odd: 1", "X\x7fOdd: 1", "X\rOdd: 1", ": 1", "X-Odd",
 	"Content-Length : 5", "Transfer-Encoding : chunked",
 }
 
-// Guards against a response with a malformed field name, which was passed on
+// Guards against a response with an invalid field name, which was passed on
 // with that line, or with a body whose length net/http doesn't know then.
 func TestMalformedFieldName(t *testing.T) {
 	for _, line := range malformedLines {
--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -44,7 +44,7 @@
 	assert.Equal(t, string(resp.GetBody()), "whole")
 }
 
-// Guards against a response whose status is none and that is taken for one.
+// Guards against passing on a response with an invalid status.
 func TestMalformedStatusIsUnknown(t *testing.T) {
 	for _, status := range []string{"000", "099", "101", "600", "999"} {
 		h := rawHarness(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 5\r\n\r\nwhole", stand.Finished)
@@ -54,7 +54,7 @@
 	}
 }
 
-// Guards against a response with a malformed field name that is taken for one.
+// Guards against passing on a response with an invalid field name.
 func TestMalformedFieldNameIsUnknown(t *testing.T) {
 	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "X\x01Odd: 1", " X-Odd: 1", "Content-Length : 5", "Transfer-Encoding : chunked"} {
 		h := rawHarness(t, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\n\r\nwhole", stand.Finished)
--- a/internal/fleet/broken_test.go
+++ b/internal/fleet/broken_test.go
@@ -51,7 +51,7 @@
 	})
 }
 
-// Guards against a response whose status is none and that reaches a caller, or
+// Guards against a response with an invalid status that reaches a caller, or
 // keeps it waiting until its deadline for another one.
 func TestMalformedStatusReachesNoCaller(t *testing.T) {
 	c := newBrokenCluster(t, func(r *http.Request) string {
@@ -66,10 +66,10 @@
 	assert.Equal(t, c.send(c.nodes[0], http.MethodPost, "/book/x?status=299").body, "whole")
 }
 
-// Guards against a response with a malformed field name that reaches a caller.
+// Guards against a response with an invalid field name that reaches a caller.
 func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
 	lines := map[string]string{
-		"blank": "X Odd: 1\r\nContent-Length: 5", "control": "X\x01Odd: 1\r\nContent-Length: 5", "folded": "X: y\r\n X-Odd: 1\r\nContent-Length: 5",
+		"space": "X Odd: 1\r\nContent-Length: 5", "control": "X\x01Odd: 1\r\nContent-Length: 5", "folded": "X: y\r\n X-Odd: 1\r\nContent-Length: 5",
 		"length": "Connection: close\r\nContent-Length : 5", "chunked": "Connection: close\r\nTransfer-Encoding : chunked",
 	}
 	c := newBrokenCluster(t, func(r *http.Request) string {
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -90,8 +90,8 @@
 	return []*wirepb.CallResponse{called, resolved}
 }
 
-// Guards against passing on an upstream's response whose status is none, from a
-// node that doesn't check it.
+// Guards against passing on an upstream's response with an invalid status, from
+// a node that doesn't check it.
 func TestMalformedStatusIsUnknown(t *testing.T) {
 	for _, status := range []int32{-1, 0, 99, 100, 101, 600, 1000} {
 		address := nodeOf(t, &wirepb.CallResponse{Id: []byte("id"), Outcome: wirepb.Outcome_OUTCOME_RAN, Status: status, Body: []byte("odd")})
@@ -107,7 +107,7 @@
 	}
 }
 
-// Guards against passing on a malformed field name of an upstream's response, from a
+// Guards against passing on an invalid field name of an upstream's response, from a
 // node that doesn't check it, and against a head of the node itself with one.
 func TestMalformedFieldNameIsUnknown(t *testing.T) {
 	for _, field := range []*wirepb.Header{
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -34,7 +34,7 @@
 	assert.Equal(t, complete, 0, "of %d truncated responses", puts)
 }
 
-// Guards against a response whose status is none and that proves an outcome.
+// Guards against a response with an invalid status that proves an outcome.
 func TestMalformedStatusIsUnknown(t *testing.T) {
 	for _, status := range []string{"000", "101", "600"} {
 		base := rawPlatform(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\n{}", stand.Finished)
@@ -45,7 +45,7 @@
 }
 
 // Guards against an object whose length is unknown, since the field name of its
-// length is malformed.
+// length is invalid.
 func TestMalformedFieldNameIsUnknown(t *testing.T) {
 	base := rawPlatform(t, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\npart", stand.Finished)
 	object, r := plat.NewObjects(base).Get(t.Context(), "k")
--- a/internal/wire/reply/conn.go
+++ b/internal/wire/reply/conn.go
@@ -1,6 +1,6 @@
 // Package reply provides connections and transports that read the HTTP/1.1
 // responses of upstreams, of other nodes and of the platform. They report as an
-// error what net/http takes for a complete response although it is none.
+// error what net/http takes for a complete response although it isn't one.
 package reply
 
 import (
--- a/internal/wire/reply/head.go
+++ b/internal/wire/reply/head.go
@@ -30,7 +30,7 @@
 }
 
 // isInterim reports whether another response follows one with this status.
-// Switching Protocols is none: no request asks for it.
+// Switching Protocols isn't one: no request asks for it.
 func isInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
@@ -43,18 +43,19 @@
 	return nil
 }
 
-// CheckFieldName checks the name of a field. net/http accepts blanks in it. With
-// one at its end, a field that frames the body is taken for another field.
+// CheckFieldName checks that the name of a field is a token. net/http accepts
+// spaces in it, also between Content-Length and the colon, and then doesn't know
+// the length of the body.
 func CheckFieldName(name string) error {
-	if name == "" || strings.ContainsFunc(name, isNoTokenChar) {
+	if name == "" || strings.ContainsFunc(name, isNotTokenChar) {
 		return fmt.Errorf("%w: field name %q isn't a token", ErrMalformed, name)
 	}
 	return nil
 }
 
-// isNoTokenChar reports whether a token can't contain r (RFC 9110, section
+// isNotTokenChar reports whether a token can't contain r (RFC 9110, section
 // 5.6.2).
-func isNoTokenChar(r rune) bool {
+func isNotTokenChar(r rune) bool {
 	return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
 }
 
@@ -63,7 +64,7 @@
 
 // headScanner finds lines of a response's head that begin with white space. Such
 // a line continues the value of the field before it for net/http, but may as
-// well be a field with a malformed name. RFC 9112, section 5.2, lets a gateway
+// well be a field with an invalid name. RFC 9112, section 5.2, lets a gateway
 // reject these responses. The zero headScanner ignores all bytes.
 type headScanner struct {
 	active bool
