exit: bound the bodies of unknown length that are read at one time

On the public interface, an upstream in trouble that sent bodies without end in all its slots made the node beside it store up to limits.body of each, and more while they grew.

Cause: each body had a limit, but not their sum. The platform's node charges responses to its quota, and internal/conns bounds the sum for one upstream; the public interface did neither.

quota.Meter is what internal/conns did, which uses it now. The exit reads 16 MiB of bodies of unknown length at a time, or one of the largest allowed size. A body that exceeds this ends as unknown with the reason memory. Bodies with a length aren't affected: one above the limit is rejected before it is read.

Evidence: internal/exit TestEndlessBodiesShareALimit, where 32 upstream connections send 3 MiB each and don't end: all were held until their deadline before; all but five end at once now. TestUnsizedResponsesFit: 16 whole responses of 512 KiB at a time are still accepted.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -25,7 +25,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -122,9 +121,8 @@
 
 // Pool holds the connections to one upstream. It is safe for concurrent use.
 type Pool struct {
-	opts Options
-	// bodyBytes is the size of all bodies that are being read.
-	bodyBytes atomic.Int64
+	opts   Options
+	bodies *quota.Meter
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -150,7 +148,7 @@
 	if o.OnDial == nil {
 		o.OnDial = func() {}
 	}
-	return &Pool{opts: o}
+	return &Pool{opts: o, bodies: quota.NewMeter(bodiesPerPool*quota.Bytes(o.MaxBodyBytes), ErrBodyTooLarge)}
 }
 
 // Close closes the idle connections; connections in use are closed after their
@@ -442,29 +440,11 @@
 // readBody reads a body within the limits of one body and of all bodies that
 // the pool reads at the same time, and within the lease.
 func (p *Pool) readBody(l *quota.Lease, resp *http.Response) ([]byte, error) {
-	m := &meteredReader{source: resp.Body, pool: p}
-	defer func() { p.bodyBytes.Add(-m.read) }()
+	m := p.bodies.NewReader(resp.Body)
+	defer m.Close()
 	return l.ReadAll(quota.Response, m, resp.ContentLength, p.opts.MaxBodyBytes)
 }
 
-// meteredReader counts the bytes of one body and fails at a limit.
-type meteredReader struct {
-	source io.Reader
-	pool   *Pool
-	read   int64
-}
-
-func (m *meteredReader) Read(b []byte) (int, error) {
-	n, err := m.source.Read(b)
-	m.read += int64(n)
-	total := m.pool.bodyBytes.Add(int64(n))
-	limit := m.pool.opts.MaxBodyBytes
-	if m.read > limit || total > bodiesPerPool*limit {
-		return n, ErrBodyTooLarge
-	}
-	return n, err
-}
-
 // keepAliveTimeout returns how long the upstream keeps an idle connection,
 // scaled by idleFraction; 0 if it does not announce a timeout.
 func keepAliveTimeout(header string) time.Duration {
--- a/internal/exit/dispatch.go
+++ b/internal/exit/dispatch.go
@@ -28,12 +28,19 @@
 	// dialTimeout bounds the time to connect to an upstream on the same
 	// instance.
 	dialTimeout = time.Second
+	// maxUnsizedBytes bounds the bodies of unknown length that are read at one
+	// time, unless a single one may be longer. An upstream in trouble may send them
+	// without end in all its slots. A body takes up to three times its size while
+	// it grows.
+	maxUnsizedBytes quota.Bytes = 16 << 20
 )
 
 // dispatcher sends admitted requests to the upstream over HTTP.
 type dispatcher struct {
 	client       *http.Client
 	maxBodyBytes int64
+	// unsized bounds the bodies of unknown length.
+	unsized *quota.Meter
 }
 
 func newDispatcher(maxBodyBytes int64, maxIdleConns int) *dispatcher {
@@ -47,7 +54,8 @@
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &dispatcher{client: client, maxBodyBytes: maxBodyBytes}
+	limit := max(maxUnsizedBytes, quota.Bytes(maxBodyBytes))
+	return &dispatcher{client: client, maxBodyBytes: maxBodyBytes, unsized: quota.NewMeter(limit, quota.ErrFull)}
 }
 
 // close closes the idle connections.
@@ -101,7 +109,7 @@
 // readResponse reads the complete response. A truncated body makes the outcome
 // unknown, because the caller must not mistake it for a complete one.
 func (d *dispatcher) readResponse(ctx context.Context, req *wirepb.CallRequest, resp *http.Response) *wirepb.CallResponse {
-	body, err := quota.FromContext(ctx).ReadAll(quota.Response, resp.Body, resp.ContentLength, d.maxBodyBytes)
+	body, err := d.readBody(ctx, resp)
 	switch {
 	case errors.Is(err, quota.ErrTooLarge):
 		return unknown(req, wirepb.Reason_REASON_SIZE)
@@ -119,6 +127,16 @@
 	}
 }
 
+func (d *dispatcher) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
+	lease := quota.FromContext(ctx)
+	if resp.ContentLength != quota.UnknownLength || lease != nil {
+		return lease.ReadAll(quota.Response, resp.Body, resp.ContentLength, d.maxBodyBytes)
+	}
+	m := d.unsized.NewReader(resp.Body)
+	defer m.Close()
+	return lease.ReadAll(quota.Response, m, quota.UnknownLength, d.maxBodyBytes)
+}
+
 // replayedMethods are the methods of requests that net/http retries by itself.
 var replayedMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
 
