quota: read each figure once in TestChargesStayWithinLimit

Cause: the test compared all that is charged, which includes what is not yet collected, with what is not yet collected at a later moment. The collector runs beside the test and may lower that figure in between.

--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -64,7 +64,9 @@
 		for _, l := range leases {
 			l.Release()
 		}
-		assert.Equal(t, used(q), q.Uncollected())
+		for _, k := range quota.Kinds() {
+			assert.Equal(t, q.Used(k), quota.Bytes(0), "%v", k)
+		}
 		l, err := q.NewLease()
 		assert.NilError(t, err)
 		defer l.Release()
