--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -103,7 +103,7 @@
 	const requests = 4
 	h := rawSlotsHarness(t, requests, stand.RawResponse{Text: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, Endless: "X: y\r\n"})
 	peak := stand.PeakHeap(func() { assert.Check(t, h.callAll(t, requests) == 0) })
-	assert.Assert(t, peak < memoryLimit, "the heap grew to %d bytes", peak)
+	assert.Assert(t, peak < stand.NodeMemory, "the heap grew to %d bytes", peak)
 }
 
 // Guards against bodies without end in all slots that together exceed the memory
@@ -136,7 +136,3 @@
 	})
 	assert.Equal(t, h.callAll(t, requests), requests)
 }
-
-// memoryLimit is the memory of a node in bytes that the capacity page plans
-// with.
-const memoryLimit = 128_000_000
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -161,7 +161,7 @@
 			assert.Check(t, call(ctx) != nil)
 		})
 		t.Logf("%s: heap %d MB", name, peak/1_000_000)
-		assert.Check(t, peak < memoryLimit, "%s: the heap grew to %d bytes", name, peak)
+		assert.Check(t, peak < stand.NodeMemory, "%s: the heap grew to %d bytes", name, peak)
 	}
 }
 
@@ -179,7 +179,3 @@
 	assert.Assert(t, err != nil)
 	assert.NilError(t, ctx.Err(), "the call lasted until its deadline; it was confirmed %d times", confirmed)
 }
-
-// memoryLimit is the memory of a node in bytes that the capacity page plans
-// with.
-const memoryLimit = 128_000_000
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -52,10 +52,6 @@
 	assert.Equal(t, r.Outcome, store.Unknown, "%q", object)
 }
 
-// memoryLimit is the memory of a node in bytes that the capacity page plans
-// with.
-const memoryLimit = 128_000_000
-
 // Guards against a response without end that takes the node over its memory, or
 // of which a part is taken for the whole object.
 func TestEndlessResponseIsUnknown(t *testing.T) {
@@ -64,6 +60,6 @@
 	var r store.Result
 	var object []byte
 	peak := stand.PeakHeap(func() { object, r = plat.NewObjects(s.URL).Get(t.Context(), "k") })
-	assert.Assert(t, peak < memoryLimit, "the heap grew to %d bytes", peak)
+	assert.Assert(t, peak < stand.NodeMemory, "the heap grew to %d bytes", peak)
 	assert.Equal(t, r.Outcome, store.Unknown, "%d bytes", len(object))
 }
--- a/internal/stand/heap.go
+++ b/internal/stand/heap.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// NodeMemory is the memory of a node in bytes that the capacity page plans with.
+const NodeMemory = 128_000_000
+
 // PeakHeap returns the largest size of the heap in bytes while f runs.
 func PeakHeap(f func()) uint64 {
 	runtime.GC()
