--- a/internal/conns/unsized_test.go
+++ b/internal/conns/unsized_test.go
@@ -62,8 +62,9 @@
 	}
 }
 
-// Guards against the same for a request that is written at once: the upstream
-// sends a part of a response and resets the connection before it gets one.
+// Guards against a truncated response without a length that is taken for a
+// complete one because the upstream has reset the connection before a short
+// request is written: then the write gets the error of the reset.
 func TestResetBeforeRequest(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/control/quota/meter.go
+++ b/internal/control/quota/meter.go
@@ -26,8 +26,8 @@
 	read   int64
 }
 
-// NewReader returns a reader of source. The caller must call Close once it no
-// longer holds the body, or only the whole one.
+// NewReader returns a reader of source. The caller must call Close after it
+// has read the body.
 func (m *Meter) NewReader(source io.Reader) *MeteredReader {
 	return &MeteredReader{meter: m, source: source}
 }
--- a/internal/exit/broken_test.go
+++ b/internal/exit/broken_test.go
@@ -69,12 +69,12 @@
 	}
 }
 
-// rawSlotsHarness returns a harness whose exit uses all slots of an upstream that
-// writes raw responses.
+// rawSlotsHarness returns a harness whose exit uses all slots at once, of an
+// upstream that writes raw responses.
 func rawSlotsHarness(t *testing.T, slots ident.Slots, response stand.RawResponse) *harness {
 	return newHarnessOf(t, func(o *exit.Options) {
 		o.MaxBodyBytes = 4 << 20
-		// The limit doesn't start low then.
+		// Without a reported load, the limit starts at one request.
 		o.ReportsLoad = true
 		o.HeartbeatTimeout = time.Hour
 	}, slots, response.ServeHTTP)
